--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+PACKAGES := core decisions daemon cli testkit
+SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(SOURCES))
+SEED ?= 1
+SECONDS ?= 60
+
+.PHONY: venv demo demo-stop test bench soak lint
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+lint: venv
+	$(VENV)/bin/ruff format --check packages features
+	$(VENV)/bin/ruff check packages features
+	$(VENV)/bin/flake8 packages features
+	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),packages/$(p)/src)
+
+demo: venv
+	$(VENV)/bin/python -m baobabwharf_testkit.demo $(if $(KEEP),--keep)
+
+demo-stop: venv
+	$(VENV)/bin/python -m baobabwharf_testkit.demo --stop
+
+test: venv
+	$(VENV)/bin/python -m baobabwharf_testkit.run_tests
+
+bench: venv
+	$(VENV)/bin/python -m baobabwharf_testkit.bench
+
+soak: venv
+	$(VENV)/bin/python -m baobabwharf_testkit.soak --seconds $(SECONDS) --seed $(SEED)
--- /dev/null
+++ b/packages/cli/src/baobabwharf_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The baobabwharf operator command line over the operator HTTP interface."""
--- /dev/null
+++ b/packages/core/src/baobabwharf_core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, clock, refusals, state charts, configuration model and wire codec."""
--- /dev/null
+++ b/packages/core/src/baobabwharf_core/clock.py
@@ -0,0 +1,52 @@
+"""Read time in whole milliseconds."""
+
+import abc
+import time
+from typing import final
+
+_NS_PER_MS = 1_000_000
+
+
+class Clock(abc.ABC):
+    """Give monotonic and wall time in milliseconds."""
+
+    @abc.abstractmethod
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+
+    @abc.abstractmethod
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+
+
+@final
+class SystemClock(Clock):
+    """Read the clocks of this VM."""
+
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+        return time.monotonic_ns() // _NS_PER_MS
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+        return time.time_ns() // _NS_PER_MS
+
+
+@final
+class ManualClock(Clock):
+    """Hold time still until it is advanced."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        """Return the set time in milliseconds."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Return the set time in milliseconds."""
+        return self._now_ms
+
+    def advance(self, step_ms: int) -> None:
+        """Move time forward by a step in milliseconds."""
+        self._now_ms += step_ms
--- /dev/null
+++ b/packages/core/src/baobabwharf_core/model.py
@@ -0,0 +1,91 @@
+"""Describe the replicated configuration of the fleet."""
+
+import msgspec
+
+from baobabwharf_core.ids import (
+    CustomerId,
+    Incarnation,
+    KeyId,
+    RegionId,
+    Revision,
+    ServiceId,
+    VmId,
+    WorkClass,
+    ZoneId,
+)
+
+
+class Customer(msgspec.Struct, frozen=True):
+    """Describe a customer; an empty residency allows every region."""
+
+    customer_id: CustomerId
+    rate_tokens_per_s: int
+    burst_tokens: int
+    residency: tuple[RegionId, ...] = ()
+
+
+class KeyRecord(msgspec.Struct, frozen=True):
+    """Hold the digest of a key; the key itself is never stored."""
+
+    key_id: KeyId
+    customer_id: CustomerId
+    digest: bytes
+    withdrawn: bool = False
+
+
+class EndpointKeyRecord(msgspec.Struct, frozen=True):
+    """Hold the digest of a key with which endpoints announce a service."""
+
+    key_id: KeyId
+    service: ServiceId
+    digest: bytes
+    withdrawn: bool = False
+
+
+class Target(msgspec.Struct, frozen=True):
+    """State the latency goal and caps for a class of work."""
+
+    work_class: WorkClass
+    first_token_ms: int
+    complete_ms: int
+    max_away_share: float = 1.0
+
+
+class RouteRule(msgspec.Struct, frozen=True):
+    """State how calls of a service below a path prefix are treated."""
+
+    service: ServiceId
+    path_prefix: str = '/'
+    open_to_all: bool = False
+    repeatable: bool = True
+    work_class: WorkClass = WorkClass('interactive')
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """Describe a VM that has joined the fleet."""
+
+    vm_id: VmId
+    region: RegionId
+    zone: ZoneId
+    has_disk: bool
+    peer_address: str
+    forward_address: str
+    caller_url: str
+    incarnation: Incarnation = Incarnation(0)
+
+
+class FleetConfig(msgspec.Struct, frozen=True):
+    """Hold the whole configuration at one revision."""
+
+    revision: Revision = Revision(0)
+    customers: dict[CustomerId, Customer] = {}
+    keys: dict[KeyId, KeyRecord] = {}
+    endpoint_keys: dict[KeyId, EndpointKeyRecord] = {}
+    targets: dict[WorkClass, Target] = {}
+    routes: dict[str, RouteRule] = {}
+    vms: dict[VmId, VmRecord] = {}
+
+
+def route_key(service: ServiceId, path_prefix: str) -> str:
+    """Return the key of a route rule in the table of routes."""
+    return f'{service} {path_prefix}'
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The baobabwharfd daemon: tasks that own sockets, files and state."""
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in endpoint, load tool, fault proxy, fleet launcher and bench."""
