--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/rpc.py
@@ -0,0 +1,269 @@
+"""Call and serve typed messages between VMs over gRPC."""
+
+import asyncio
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from pathlib import Path
+from typing import Any, TypeVar, cast, final
+
+import msgspec
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.refusals import RefusalCode
+from expression import Error, Ok, Result
+from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from baobabwharf_daemon.settings import Tls
+
+RequestT = TypeVar('RequestT')
+ReplyT = TypeVar('ReplyT')
+UnaryHandler = Callable[[Any], Awaitable[Any]]
+StreamHandler = Callable[[Any], AsyncIterator[Any]]
+
+_SECRET_HEADER = 'x-fleet-secret'
+_MS_PER_S = 1000
+_FAILURES = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    asyncio.TimeoutError,
+    msgspec.DecodeError,
+)
+
+
+@final
+class MessageCodec(CodecBase):
+    """Encode msgspec structs as MessagePack for gRPC."""
+
+    __content_subtype__ = 'msgpack'
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Encode a message."""
+        return encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Decode a message of the given type."""
+        return decode(data, message_type)
+
+
+class RpcFailure(msgspec.Struct, frozen=True):
+    """Say why a call between VMs gave no reply; it may have been handled."""
+
+    address: str
+    sentence: str
+    code: RefusalCode = RefusalCode.REGION_UNREACHABLE
+
+
+def server_context(tls: Tls) -> ssl.SSLContext:
+    """Return a TLS context that demands a certificate of the authority."""
+    context = ssl.create_default_context(
+        ssl.Purpose.CLIENT_AUTH, cafile=str(tls.ca_file)
+    )
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.set_alpn_protocols(['h2'])
+    return context
+
+
+def client_context(tls: Tls) -> ssl.SSLContext:
+    """Return a TLS context that shows the certificate of this VM."""
+    context = ssl.create_default_context(
+        ssl.Purpose.SERVER_AUTH, cafile=str(tls.ca_file)
+    )
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    context.set_alpn_protocols(['h2'])
+    return context
+
+
+class _Service:
+    """Present registered handlers to grpclib."""
+
+    def __init__(self, mapping: Mapping[str, Handler]) -> None:
+        self._mapping = mapping
+
+    def __mapping__(self) -> Mapping[str, Handler]:
+        return self._mapping
+
+
+@final
+class RpcServer:
+    """Serve registered methods on the peer listener."""
+
+    def __init__(self, secret: str, tls: Tls | None) -> None:
+        self._secret = secret
+        self._tls = tls
+        self._handlers: dict[str, Handler] = {}
+        self._server: Server | None = None
+
+    def register_unary(
+        self,
+        path: str,
+        request_type: type[RequestT],
+        reply_type: type[ReplyT],
+        handler: Callable[[RequestT], Awaitable[ReplyT]],
+    ) -> None:
+        """Register a handler for calls with one reply."""
+
+        async def serve(stream: Stream[Any, Any]) -> None:
+            request = await self._receive(stream)
+            await stream.send_message(await handler(request))
+
+        self._add(
+            path,
+            serve,
+            Cardinality.UNARY_UNARY,
+            request_type,
+            reply_type,
+        )
+
+    def register_stream(
+        self,
+        path: str,
+        request_type: type[RequestT],
+        reply_type: type[ReplyT],
+        handler: Callable[[RequestT], AsyncIterator[ReplyT]],
+    ) -> None:
+        """Register a handler for calls with a stream of replies."""
+
+        async def serve(stream: Stream[Any, Any]) -> None:
+            request = await self._receive(stream)
+            async for reply in handler(request):
+                await stream.send_message(reply)
+
+        self._add(
+            path,
+            serve,
+            Cardinality.UNARY_STREAM,
+            request_type,
+            reply_type,
+        )
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for other VMs."""
+        self._server = Server(
+            [cast(Any, _Service(self._handlers))], codec=MessageCodec()
+        )
+        context = server_context(self._tls) if self._tls else None
+        await self._server.start(host, port, ssl=context)
+
+    async def stop(self) -> None:
+        """Close the listener and its connections."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def _add(
+        self,
+        path: str,
+        serve: Callable[[Stream[Any, Any]], Awaitable[None]],
+        cardinality: Cardinality,
+        request_type: Any,
+        reply_type: Any,
+    ) -> None:
+        self._handlers[path] = Handler(
+            serve, cardinality, request_type, reply_type
+        )
+
+    async def _receive(self, stream: Stream[Any, Any]) -> Any:
+        metadata = stream.metadata or {}
+        if metadata.get(_SECRET_HEADER) != self._secret:
+            raise GRPCError(Status.UNAUTHENTICATED)
+        request = await stream.recv_message()
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT)
+        return request
+
+
+@final
+class RpcClient:
+    """Call other VMs; keep one connection for each address."""
+
+    def __init__(self, secret: str, tls: Tls | None) -> None:
+        self._metadata = {_SECRET_HEADER: secret}
+        self._tls = tls
+        self._channels: dict[str, Channel] = {}
+
+    async def call(
+        self,
+        address: str,
+        path: str,
+        request: Any,
+        reply_type: type[ReplyT],
+        timeout_ms: int,
+    ) -> Result[ReplyT, RpcFailure]:
+        """Return the reply, or a failure after the timeout in ms."""
+        method = UnaryUnaryMethod(
+            self._channel(address), path, type(request), reply_type
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_S):
+                return Ok(await method(request, metadata=self._metadata))
+        except _FAILURES as fault:
+            return Error(RpcFailure(address, _sentence(fault)))
+
+    async def stream(
+        self,
+        address: str,
+        path: str,
+        request: Any,
+        reply_type: type[ReplyT],
+        idle_timeout_ms: int,
+    ) -> AsyncIterator[Result[ReplyT, RpcFailure]]:
+        """Yield replies; end with a failure when none comes in time."""
+        method = UnaryStreamMethod(
+            self._channel(address), path, type(request), reply_type
+        )
+        idle_s = idle_timeout_ms / _MS_PER_S
+        try:
+            async with method.open(metadata=self._metadata) as stream:
+                await asyncio.wait_for(
+                    stream.send_message(request, end=True), idle_s
+                )
+                async for reply in _receive_all(stream, idle_s):
+                    yield Ok(reply)
+        except _FAILURES as fault:
+            yield Error(RpcFailure(address, _sentence(fault)))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def reset(self, address: str) -> None:
+        """Drop the connection to an address; the next call opens one."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _colon, port = address.rpartition(':')
+            context = client_context(self._tls) if self._tls else None
+            channel = Channel(
+                host, int(port), ssl=context, codec=MessageCodec()
+            )
+            self._channels[address] = channel
+        return channel
+
+
+async def _receive_all(stream: Any, idle_s: float) -> AsyncIterator[Any]:
+    while True:
+        reply = await asyncio.wait_for(stream.recv_message(), idle_s)
+        if reply is None:
+            return
+        yield reply
+
+
+def read_secret(path: Path) -> str:
+    """Return the secret that VMs of one fleet share."""
+    return path.read_text().strip()
+
+
+def _sentence(fault: BaseException) -> str:
+    return f'{type(fault).__name__}: {fault}'
