--- a/packages/daemon/src/baobabwharf_daemon/rpc.py
+++ b/packages/daemon/src/baobabwharf_daemon/rpc.py
@@ -169,7 +169,7 @@
         )
 
     async def _receive(self, stream: Stream[Any, Any]) -> Any:
-        metadata = stream.metadata or {}
+        metadata: Mapping[str, Any] = stream.metadata or {}
         if metadata.get(_SECRET_HEADER) != self._secret:
             raise GRPCError(Status.UNAUTHENTICATED)
         request = await stream.recv_message()
