Routing: add the directory, region and endpoint choice, admission, retries

Cause: a daemon needs to know its endpoints and to decide for each request which region and endpoint serve it, when, and whether it may be retried.

Change: pure code in decisions (directory, groups, prefixes, choice, routing, away, admission, retries, deadlines, explain, summaries) and the tasks that run it (registry, lanes, router, routing_parts).

Ruled out: a queue message for each decision, since the interface calls for plain method calls; scanning all endpoints for each request, since 1,100 of them do not fit into 200 us.

--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/registry.py
@@ -0,0 +1,273 @@
+"""Accept endpoints and exchange them with the VMs of the own region."""
+
+from typing import Any, final
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_core.model import VmRecord
+from baobabwharf_core.platform import Announcement, Heartbeat, LeaseAnswer
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.endpoints import (
+    HEARTBEAT_MS,
+    LEASE_MS,
+    BeatOutcome,
+)
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.interfaces import EndpointRegistry, MembershipView
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.rpc import RpcClient, RpcServer
+from baobabwharf_daemon.settings import Settings
+
+SYNC_PATH = '/Registry/Sync'
+_SYNC_TIMEOUT_MS = 1000
+# Items kept for one batch; a lost heartbeat is repaired by the next.
+_MAX_PENDING = 5000
+
+
+class AgedAnnouncement(msgspec.Struct, frozen=True, array_like=True):
+    """Pass on an announcement that was received age_ms ago."""
+
+    announcement: Announcement
+    age_ms: int
+
+
+class AgedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """Pass on a heartbeat that was received age_ms ago."""
+
+    beat: Heartbeat
+    age_ms: int
+
+
+class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Tell the VMs of a region what endpoints told this VM."""
+
+    origin: VmId
+    announcements: tuple[AgedAnnouncement, ...] = ()
+    beats: tuple[AgedHeartbeat, ...] = ()
+    want_all: bool = False
+
+
+class SyncReply(msgspec.Struct, frozen=True, array_like=True):
+    """Name endpoints that are not known here, and all that are if asked."""
+
+    unknown: tuple[EndpointId, ...] = ()
+    announcements: tuple[AgedAnnouncement, ...] = ()
+    beats: tuple[AgedHeartbeat, ...] = ()
+
+
+class _Heard(msgspec.Struct):
+    announcement: Announcement
+    beat: Heartbeat | None
+    heard_ms: int
+
+
+@final
+class Registry(EndpointRegistry):
+    """Fill the directory of this VM and pass on what endpoints told it."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        directory: Directory,
+        server: RpcServer,
+        client: RpcClient,
+        membership: MembershipView,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._directory = directory
+        self._client = client
+        self._membership = membership
+        self._log = get_logger('registry')
+        self._announced: dict[EndpointId, _Heard] = {}
+        self._pending: list[tuple[int, Announcement | Heartbeat]] = []
+        self._synced: set[VmId] = set()
+        server.register_unary(SYNC_PATH, SyncRequest, SyncReply, self._serve)
+
+    def announce(
+        self, announcement: Announcement
+    ) -> Result[LeaseAnswer, Refusal]:
+        """Record an endpoint whose key was checked."""
+        if announcement.region != self._settings.region:
+            return _refuse(f'this VM belongs to {self._settings.region}')
+        if announcement.slots < 1:
+            return _refuse('slots must be at least 1')
+        now_ms = self._clock.now_ms()
+        step = self._directory.announce(announcement, now_ms)
+        if step.outcome is BeatOutcome.STALE:
+            return _refuse('a newer incarnation has announced itself')
+        heard = _Heard(announcement, None, now_ms)
+        self._announced[announcement.endpoint_id] = heard
+        self._queue(now_ms, announcement)
+        self._log.info(
+            'Endpoint %s of %s announced itself.',
+            announcement.endpoint_id,
+            announcement.service,
+        )
+        return Ok(self._lease())
+
+    def heartbeat(self, beat: Heartbeat) -> Result[LeaseAnswer, Refusal]:
+        """Renew the lease; an unknown endpoint must announce itself."""
+        now_ms = self._clock.now_ms()
+        step = self._directory.heartbeat(beat, now_ms)
+        if step.outcome is BeatOutcome.UNKNOWN:
+            return Error(
+                Refusal(
+                    RefusalCode.SERVICE_UNKNOWN,
+                    detail='the endpoint is not known and must announce itself',
+                )
+            )
+        if step.outcome is BeatOutcome.ACCEPTED:
+            self._remember(beat, now_ms)
+            self._queue(now_ms, beat)
+        return Ok(self._lease())
+
+    def describe(self) -> tuple[dict[str, Any], ...]:
+        """Return one JSON object for each known endpoint, for operators."""
+        now_ms = self._clock.now_ms()
+        return tuple(
+            {
+                'endpoint_id': known.endpoint_id,
+                'service': known.announcement.service,
+                'zone': known.announcement.zone,
+                'models': list(known.announcement.models),
+                'state': known.state,
+                'lease_ms': max(0, known.lease_until_ms - now_ms),
+                'slots': known.announcement.slots,
+                'requests': known.load.requests,
+                'own_requests': known.load.own,
+                'mean_ms': round(known.speed.service_ms, 1),
+                'cache_gaps': known.cache.gaps,
+            }
+            for known in self._directory.endpoints.values()
+        )
+
+    async def sync(self) -> None:
+        """Send what is pending to the other VMs of the region."""
+        now_ms = self._clock.now_ms()
+        pending = self._pending
+        self._pending = []
+        peers = self._peers()
+        self._synced.intersection_update(peer.vm_id for peer in peers)
+        for peer in peers:
+            want_all = peer.vm_id not in self._synced
+            if pending or want_all:
+                request = self._request(pending, want_all, now_ms)
+                await self._exchange(peer, request)
+
+    def _peers(self) -> list[VmRecord]:
+        return [
+            vm
+            for vm in self._membership.live_vms()
+            if vm.region == self._settings.region
+            and vm.vm_id != self._settings.vm_id
+        ]
+
+    def _request(
+        self,
+        pending: list[tuple[int, Announcement | Heartbeat]],
+        want_all: bool,
+        now_ms: int,
+    ) -> SyncRequest:
+        announcements: list[AgedAnnouncement] = []
+        beats: list[AgedHeartbeat] = []
+        for heard_ms, message in pending:
+            if isinstance(message, Announcement):
+                aged = AgedAnnouncement(message, now_ms - heard_ms)
+                announcements.append(aged)
+            else:
+                beats.append(AgedHeartbeat(message, now_ms - heard_ms))
+        return SyncRequest(
+            VmId(self._settings.vm_id),
+            tuple(announcements),
+            tuple(beats),
+            want_all,
+        )
+
+    async def _exchange(self, peer: VmRecord, request: SyncRequest) -> None:
+        answer = await self._client.call(
+            peer.peer_address,
+            SYNC_PATH,
+            request,
+            SyncReply,
+            _SYNC_TIMEOUT_MS,
+        )
+        if answer.is_error():
+            self._synced.discard(peer.vm_id)
+            return
+        reply = answer.ok
+        self._synced.add(peer.vm_id)
+        self._take(reply.announcements, reply.beats)
+        for endpoint_id in reply.unknown:
+            heard = self._announced.get(endpoint_id)
+            if heard is not None:
+                self._queue(heard.heard_ms, heard.announcement)
+
+    async def _serve(self, request: SyncRequest) -> SyncReply:
+        unknown = self._take(request.announcements, request.beats)
+        if not request.want_all:
+            return SyncReply(unknown)
+        now_ms = self._clock.now_ms()
+        alive = [
+            heard
+            for heard in self._announced.values()
+            if now_ms - heard.heard_ms < LEASE_MS
+        ]
+        return SyncReply(
+            unknown,
+            tuple(
+                AgedAnnouncement(heard.announcement, now_ms - heard.heard_ms)
+                for heard in alive
+            ),
+            tuple(
+                AgedHeartbeat(heard.beat, now_ms - heard.heard_ms)
+                for heard in alive
+                if heard.beat is not None
+            ),
+        )
+
+    def _take(
+        self,
+        announcements: tuple[AgedAnnouncement, ...],
+        beats: tuple[AgedHeartbeat, ...],
+    ) -> tuple[EndpointId, ...]:
+        now_ms = self._clock.now_ms()
+        for told in announcements:
+            if told.announcement.region == self._settings.region:
+                self._directory.announce(told.announcement, now_ms, told.age_ms)
+        unknown = [
+            item.beat.endpoint_id
+            for item in beats
+            if self._directory.heartbeat(item.beat, now_ms, item.age_ms).outcome
+            is BeatOutcome.UNKNOWN
+        ]
+        return tuple(unknown)
+
+    def _remember(self, beat: Heartbeat, now_ms: int) -> None:
+        heard = self._announced.get(beat.endpoint_id)
+        if heard is None:
+            known = self._directory.endpoints[beat.endpoint_id]
+            heard = _Heard(known.announcement, None, now_ms)
+            self._announced[beat.endpoint_id] = heard
+        heard.beat = beat
+        heard.heard_ms = now_ms
+
+    def _queue(self, now_ms: int, message: Announcement | Heartbeat) -> None:
+        if len(self._pending) < _MAX_PENDING:
+            self._pending.append((now_ms, message))
+
+    def _lease(self) -> LeaseAnswer:
+        urls = tuple(
+            vm.caller_url
+            for vm in self._membership.live_vms()
+            if vm.region == self._settings.region
+        )
+        return LeaseAnswer(LEASE_MS, HEARTBEAT_MS, urls)
+
+
+def _refuse(detail: str) -> Result[LeaseAnswer, Refusal]:
+    return Error(Refusal(RefusalCode.INVALID_REQUEST, detail=detail))
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/admission.py
@@ -0,0 +1,333 @@
+"""Queue requests by class and deadline, fairly between customers."""
+
+import heapq
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import msgspec
+from baobabwharf_core.ids import CustomerId, EndpointId, RequestId
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_core.requests import RequestFacts
+from expression import Error, Ok, Result
+
+PlacedT = TypeVar('PlacedT')
+
+MAX_WAITING = 2000
+MAX_WAITING_BYTES = 32 * 1024 * 1024
+# Customers tried before a class counts as blocked: the head of one customer
+# may exclude the only endpoint with room.
+_SCAN_CUSTOMERS = 4
+# An early refusal needs an expected wait above the time left by this factor,
+# since the expected wait is only an estimate.
+_WAIT_MARGIN = 1.25
+_MIN_RETRY_AFTER_MS = 100
+
+
+class Ticket(msgspec.Struct, eq=False):
+    """Hold one waiting request; times are on the clock of this VM, in ms."""
+
+    facts: RequestFacts
+    excluded: frozenset[EndpointId]
+    due_ms: int
+    latest_start_ms: int
+    order: int
+    done: bool = False
+
+    def __lt__(self, other: 'Ticket') -> bool:
+        """Order by due time, then by arrival."""
+        return (self.due_ms, self.order) < (other.due_ms, other.order)
+
+
+class Capacity(msgspec.Struct, frozen=True):
+    """State what serves a queue: slots and mean time of a request in ms."""
+
+    slots: int
+    service_ms: float
+
+
+class FairQueue:
+    """Hold the tickets of one class; serve the customer served least."""
+
+    def __init__(self, rank_ms: int) -> None:
+        self.rank_ms = rank_ms
+        self.waiting = 0
+        self._served: dict[CustomerId, float] = {}
+        self._heaps: dict[CustomerId, list[Ticket]] = {}
+        self._turns: list[tuple[float, int, CustomerId]] = []
+        self._floor = 0.0
+        self._turn_order = 0
+
+    @property
+    def customers(self) -> int:
+        """Return how many customers wait."""
+        return len(self._heaps)
+
+    def waiting_of(self, customer_id: CustomerId) -> int:
+        """Return how many requests of a customer wait."""
+        return len(self._heaps.get(customer_id, ()))
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a ticket; a customer without backlog gets no old credit."""
+        customer_id = ticket.facts.customer_id
+        self.waiting += 1
+        heap = self._heaps.get(customer_id)
+        if heap is not None:
+            heapq.heappush(heap, ticket)
+            return
+        self._heaps[customer_id] = [ticket]
+        before = self._served.get(customer_id, 0.0)
+        self._served[customer_id] = max(before, self._floor)
+        self._turn(customer_id)
+
+    def charge(self, customer_id: CustomerId, tokens: float) -> None:
+        """Count tokens served to a customer, or take back a surplus."""
+        before = max(self._served.get(customer_id, 0.0), self._floor)
+        self._served[customer_id] = max(before + tokens, self._floor)
+        if customer_id in self._heaps:
+            self._turn(customer_id)
+
+    def heads(self) -> Iterator[Ticket]:
+        """Return the next ticket of the customers served least."""
+        seen: list[tuple[float, int, CustomerId]] = []
+        while self._turns and len(seen) < _SCAN_CUSTOMERS:
+            turn = heapq.heappop(self._turns)
+            customer_id = turn[2]
+            heap = self._heaps.get(customer_id)
+            if heap is None or turn[0] != self._served.get(customer_id):
+                continue
+            seen.append(turn)
+            self._floor = max(self._floor, seen[0][0])
+            yield heap[0]
+        for turn in seen:
+            heapq.heappush(self._turns, turn)
+
+    def remove_head(self, ticket: Ticket) -> None:
+        """Take out the next ticket of a customer."""
+        customer_id = ticket.facts.customer_id
+        heap = self._heaps[customer_id]
+        heapq.heappop(heap)
+        self.waiting -= 1
+        if not heap:
+            self._heaps.pop(customer_id)
+
+    def drop(self, doomed: Callable[[Ticket], bool]) -> list[Ticket]:
+        """Take out all tickets that a rule names."""
+        dropped: list[Ticket] = []
+        for customer_id, heap in tuple(self._heaps.items()):
+            gone = [ticket for ticket in heap if doomed(ticket)]
+            if gone:
+                dropped.extend(gone)
+                self._keep(customer_id, heap, gone)
+        self.waiting -= len(dropped)
+        return dropped
+
+    def relax(self) -> None:
+        """Halve old differences while nobody waits."""
+        if self._heaps:
+            return
+        self._turns.clear()
+        self._served = {
+            customer_id: self._floor + (served - self._floor) / 2
+            for customer_id, served in self._served.items()
+            if served - self._floor > 1
+        }
+
+    def _keep(
+        self, customer_id: CustomerId, heap: list[Ticket], gone: list[Ticket]
+    ) -> None:
+        rest = [ticket for ticket in heap if ticket not in gone]
+        heapq.heapify(rest)
+        if rest:
+            self._heaps[customer_id] = rest
+        else:
+            self._heaps.pop(customer_id)
+
+    def _turn(self, customer_id: CustomerId) -> None:
+        self._turn_order += 1
+        turn = (self._served[customer_id], self._turn_order, customer_id)
+        heapq.heappush(self._turns, turn)
+
+
+class Admission:
+    """Hold the queues of one service and model."""
+
+    def __init__(self) -> None:
+        self._queues: list[FairQueue] = []
+        self._order = 0
+        self._bytes = 0
+        self._waiting: dict[RequestId, Ticket] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def blocked(self, rank_ms: int) -> bool:
+        """Tell whether a request of a class as urgent or more waits."""
+        return self.ahead(rank_ms) > 0
+
+    def ahead(self, rank_ms: int) -> int:
+        """Return the waiting requests of a class and more urgent ones."""
+        return sum(
+            queue.waiting for queue in self._queues if queue.rank_ms <= rank_ms
+        )
+
+    def most_urgent(self, rank_ms: int) -> bool:
+        """Tell whether no known class is more urgent than this one."""
+        return not self._queues or rank_ms <= self._queues[0].rank_ms
+
+    def queue(self, rank_ms: int) -> FairQueue:
+        """Return the queue of the class with this goal for first tokens."""
+        for known in self._queues:
+            if known.rank_ms == rank_ms:
+                return known
+        added = FairQueue(rank_ms)
+        self._queues.append(added)
+        self._queues.sort(key=_rank)
+        return added
+
+    def offer(
+        self,
+        facts: RequestFacts,
+        excluded: frozenset[EndpointId],
+        capacity: Capacity,
+        deadline_at_ms: int,
+        now_ms: int,
+    ) -> Result[Ticket, Refusal]:
+        """Queue a request, or refuse it as not run."""
+        queue = self.queue(facts.first_token_ms)
+        left_ms = deadline_at_ms - now_ms
+        refusal = self._refusal(queue, facts, capacity, left_ms)
+        if refusal is not None:
+            return Error(refusal)
+        self._order += 1
+        ticket = Ticket(
+            facts,
+            excluded,
+            now_ms + min(facts.first_token_ms, left_ms),
+            deadline_at_ms,
+            self._order,
+        )
+        self._bytes += facts.body_bytes
+        self._waiting[facts.request_id] = ticket
+        queue.push(ticket)
+        return Ok(ticket)
+
+    def place(
+        self, fits: Callable[[Ticket], PlacedT | None], now_ms: int
+    ) -> Iterator[tuple[Ticket, PlacedT]]:
+        """Yield tickets that fit, the most urgent class first."""
+        for queue in self._queues:
+            placed = self._place_one(queue, fits, now_ms)
+            while placed is not None:
+                yield placed
+                placed = self._place_one(queue, fits, now_ms)
+            if queue.waiting:
+                # A less urgent class must not overtake this one.
+                return
+
+    def expire(self, now_ms: int) -> list[tuple[Ticket, Refusal]]:
+        """Take out tickets whose time is over."""
+        refusal = Refusal(
+            RefusalCode.DEADLINE_UNREACHABLE,
+            detail='the deadline passed in the queue',
+        )
+        expired: list[tuple[Ticket, Refusal]] = []
+        for queue in self._queues:
+            for ticket in queue.drop(_past(now_ms)):
+                self._forget(ticket)
+                expired.append((ticket, refusal))
+        return expired
+
+    def cancel(self, request_id: RequestId) -> None:
+        """Take out the ticket of a caller that has gone."""
+        ticket = self._waiting.get(request_id)
+        if ticket is None:
+            return
+        queue = self.queue(ticket.facts.first_token_ms)
+        queue.drop(lambda other: other is ticket)
+        self._forget(ticket)
+
+    def charge(self, facts: RequestFacts, tokens: float) -> None:
+        """Count tokens served to a customer in its class."""
+        self.queue(facts.first_token_ms).charge(facts.customer_id, tokens)
+
+    def relax(self) -> None:
+        """Forget old differences between customers while nobody waits."""
+        for queue in self._queues:
+            queue.relax()
+
+    def _place_one(
+        self,
+        queue: FairQueue,
+        fits: Callable[[Ticket], PlacedT | None],
+        now_ms: int,
+    ) -> tuple[Ticket, PlacedT] | None:
+        heads = queue.heads()
+        for ticket in heads:
+            if now_ms >= ticket.latest_start_ms:
+                continue
+            placed = fits(ticket)
+            if placed is not None:
+                tuple(heads)
+                queue.remove_head(ticket)
+                self._forget(ticket)
+                queue.charge(ticket.facts.customer_id, cost(ticket.facts))
+                return ticket, placed
+        return None
+
+    def _refusal(
+        self,
+        queue: FairQueue,
+        facts: RequestFacts,
+        capacity: Capacity,
+        left_ms: int,
+    ) -> Refusal | None:
+        own = queue.waiting_of(facts.customer_id)
+        free = MAX_WAITING - len(self._waiting)
+        free_bytes = MAX_WAITING_BYTES - self._bytes
+        # A customer may hold at most as many places as are still free, so
+        # that a surge of one always leaves places to the others.
+        if own >= free or facts.body_bytes > free_bytes:
+            retry_ms = int(capacity.service_ms) + _MIN_RETRY_AFTER_MS
+            return Refusal(
+                RefusalCode.QUEUE_FULL,
+                retry_after_ms=retry_ms,
+                detail=f'{own} requests of this customer wait',
+            )
+        wait_ms = self._expected_wait(queue, own, capacity)
+        late_ms = wait_ms - left_ms * _WAIT_MARGIN
+        if late_ms < 0:
+            return None
+        return Refusal(
+            RefusalCode.DEADLINE_UNREACHABLE,
+            retry_after_ms=int(late_ms) + _MIN_RETRY_AFTER_MS,
+            detail=f'the expected wait is {int(wait_ms)} ms',
+        )
+
+    def _expected_wait(
+        self, queue: FairQueue, own: int, capacity: Capacity
+    ) -> float:
+        ahead = min(queue.waiting, (own + 1) * (queue.customers + 1))
+        for other in self._queues:
+            if other.rank_ms < queue.rank_ms:
+                ahead += other.waiting
+        return ahead * capacity.service_ms / max(1, capacity.slots)
+
+    def _forget(self, ticket: Ticket) -> None:
+        ticket.done = True
+        self._bytes -= ticket.facts.body_bytes
+        self._waiting.pop(ticket.facts.request_id, None)
+
+
+def cost(facts: RequestFacts) -> float:
+    """Return the tokens charged to a customer when a request starts."""
+    return max(1.0, float(facts.reserved_tokens))
+
+
+def _rank(queue: FairQueue) -> int:
+    return queue.rank_ms
+
+
+def _past(now_ms: int) -> Callable[[Ticket], bool]:
+    return lambda ticket: now_ms >= ticket.latest_start_ms
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/away.py
@@ -0,0 +1,115 @@
+"""Bound what a VM sends to other regions."""
+
+from collections import deque
+
+import msgspec
+from baobabwharf_core.ids import RegionId, RequestId
+
+# Requests that may go away at once after a quiet time.
+_AWAY_BURST = 8.0
+_MS_PER_S = 1000
+_BITS_PER_BYTE = 8
+# Part of a link that spill-over may fill; the rest carries configuration,
+# heartbeats and answers that were longer than expected.
+_LINK_SHARE = 0.7
+# A link counts as full when this many ms of traffic are queued for it.
+LINK_QUEUE_MS = 250
+
+
+class AwayAllowance(msgspec.Struct):
+    """Pay spill-over from the share that a target allows."""
+
+    level: float = 0.0
+
+    def earn(self, max_away_share: float) -> None:
+        """Count a request of the class."""
+        self.level = min(_AWAY_BURST, self.level + max_away_share)
+
+    @property
+    def available(self) -> bool:
+        """Tell whether one more request may be sent away."""
+        return self.level >= 1
+
+    def spend(self) -> None:
+        """Count a request that was sent away."""
+        self.level -= 1
+
+
+class LinkMeter(msgspec.Struct):
+    """Follow this VM's part of a link as a leaking bucket of bytes."""
+
+    delay_ms: float
+    bytes_per_ms: float
+    queued_bytes: float = 0.0
+    updated_ms: int = 0
+
+    def queue_ms(self, now_ms: int, vms: int) -> float:
+        """Return how long the queued bytes take, in ms."""
+        rate = self.bytes_per_ms * _LINK_SHARE / max(1, vms)
+        drained = (now_ms - self.updated_ms) * rate
+        self.queued_bytes = max(0.0, self.queued_bytes - drained)
+        self.updated_ms = now_ms
+        return self.queued_bytes / rate
+
+    def sent(self, size: int) -> None:
+        """Count bytes sent."""
+        self.queued_bytes += size
+
+
+def link_meter(delay_ms: float, bandwidth_mbit_s: float) -> LinkMeter:
+    """Return the meter of a link from its settings."""
+    bytes_per_ms = bandwidth_mbit_s * _MS_PER_S / _BITS_PER_BYTE
+    return LinkMeter(delay_ms, bytes_per_ms)
+
+
+class SentRecord:
+    """Remember what was sent to a region and is not in its report yet."""
+
+    def __init__(self) -> None:
+        self._times: deque[int] = deque()
+
+    def sent(self, now_ms: int) -> None:
+        """Count a request."""
+        self._times.append(now_ms)
+
+    def since(self, report_ms: int) -> int:
+        """Return the requests sent after a report was made."""
+        while self._times and self._times[0] <= report_ms:
+            self._times.popleft()
+        return len(self._times)
+
+
+class Flights:
+    """Know the running requests that this VM sent to each region."""
+
+    def __init__(self) -> None:
+        self._region_of: dict[RequestId, tuple[RegionId, int]] = {}
+        self._counts: dict[RegionId, int] = {}
+
+    def count(self, region: RegionId) -> int:
+        """Return the running requests in a region."""
+        return self._counts.get(region, 0)
+
+    def begin(
+        self, request_id: RequestId, region: RegionId, until_ms: int
+    ) -> None:
+        """Count a request until it ends or its deadline passes."""
+        self.end(request_id)
+        self._region_of[request_id] = (region, until_ms)
+        self._counts[region] = self._counts.get(region, 0) + 1
+
+    def end(self, request_id: RequestId) -> None:
+        """Forget a request that ended."""
+        entry = self._region_of.pop(request_id, None)
+        if entry is not None:
+            self._counts[entry[0]] -= 1
+
+    def expire(self, now_ms: int) -> None:
+        """Forget requests whose deadline has passed."""
+        overdue = [
+            request_id
+            for request_id, entry in self._region_of.items()
+            if now_ms >= entry[1]
+        ]
+        for request_id in overdue:
+            self.end(request_id)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/choice.py
@@ -0,0 +1,160 @@
+"""Choose the endpoint inside a region by expected times."""
+
+import random
+from itertools import islice
+
+import msgspec
+from baobabwharf_core.ids import EndpointId, RegionId
+from baobabwharf_core.invariants import check_invariant
+from baobabwharf_core.requests import EndpointChoice, RequestFacts
+
+from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.endpoints import EndpointState, Expectation
+
+# Exact expectations are computed for this many of the best ranked endpoints.
+_RATED_CANDIDATES = 10
+_SCAN_LIMIT = 32
+# VMs that act on the same report would all choose the same endpoint; a small
+# random factor spreads near equals.
+_SPREAD = 0.05
+# A prefix that nobody holds goes to its place on the ring unless that is
+# slower than the best by more than this factor, so that it is cached once.
+_RING_TOLERANCE = 1.25
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """Pair an endpoint with what a request may expect of it."""
+
+    endpoint: EndpointState
+    expected: Expectation
+    cached_share: float
+    cost: float
+
+
+class EndpointChooser:
+    """Choose among the usable endpoints of a directory."""
+
+    def __init__(
+        self, region: RegionId, directory: Directory, rng: random.Random
+    ) -> None:
+        self._region = region
+        self._directory = directory
+        self._rng = rng
+
+    def choose(
+        self,
+        facts: RequestFacts,
+        excluded: frozenset[EndpointId],
+        reserve_share: float,
+        now_ms: int,
+    ) -> Candidate | None:
+        """Return the best endpoint with room beyond a reserve, if any."""
+        check_invariant(
+            not facts.residency or self._region in facts.residency,
+            'A request may only be placed in a region of its residency.',
+        )
+        best: Candidate | None = None
+        rated = 0
+        for endpoint in self._candidates(facts, excluded):
+            if not self._has_room(endpoint, reserve_share, now_ms):
+                continue
+            candidate = self._rate(facts, endpoint)
+            if best is None or candidate.cost < best.cost:
+                best = candidate
+            rated += 1
+            if rated >= _RATED_CANDIDATES:
+                break
+        if best is not None and facts.prefix_hashes:
+            return self._ring_choice(
+                facts, best, excluded, reserve_share, now_ms
+            )
+        return best
+
+    def expect(self, facts: RequestFacts, now_ms: int) -> Candidate | None:
+        """Return what a request may expect if an endpoint has room."""
+        return self.choose(facts, frozenset(), 0.0, now_ms)
+
+    def serves(self, facts: RequestFacts, now_ms: int) -> bool:
+        """Tell whether any endpoint of the region can serve the request."""
+        group = self._directory.groups.get((facts.service, facts.model))
+        if group is None:
+            return False
+        if any(True for _endpoint in group.ranked()):
+            return True
+        return any(
+            self._directory.may_use(member, now_ms)
+            for member in group.members.values()
+        )
+
+    def _candidates(
+        self, facts: RequestFacts, excluded: frozenset[EndpointId]
+    ) -> list[EndpointState]:
+        group = self._directory.groups.get((facts.service, facts.model))
+        if group is None:
+            return []
+        found: list[EndpointState] = []
+        for holder in self._directory.index.holders(facts.prefix_hashes):
+            member = group.members.get(holder)
+            if member is not None and holder not in excluded:
+                found.append(member)
+        for endpoint in islice(group.ranked(), _SCAN_LIMIT):
+            if endpoint.endpoint_id not in excluded:
+                found.append(endpoint)
+        return found
+
+    def _has_room(
+        self, endpoint: EndpointState, reserve_share: float, now_ms: int
+    ) -> bool:
+        if not self._directory.may_use(endpoint, now_ms):
+            return False
+        if endpoint.room(now_ms) <= 0:
+            return False
+        if not reserve_share:
+            return True
+        allowed = endpoint.announcement.slots * (1 - reserve_share)
+        return endpoint.load.requests < allowed
+
+    def _rate(self, facts: RequestFacts, endpoint: EndpointState) -> Candidate:
+        cached_share = endpoint.cache.trusted_share(facts.prefix_hashes)
+        expected = endpoint.expect(facts, cached_share)
+        cost = expected.first_token_ms / max(1, facts.first_token_ms)
+        cost += expected.complete_ms / max(1, facts.deadline_ms)
+        cost *= 1 + self._rng.random() * _SPREAD
+        return Candidate(endpoint, expected, cached_share, cost)
+
+    def _ring_choice(
+        self,
+        facts: RequestFacts,
+        best: Candidate,
+        excluded: frozenset[EndpointId],
+        reserve_share: float,
+        now_ms: int,
+    ) -> Candidate:
+        if best.cached_share > 0:
+            return best
+        group = self._directory.groups[facts.service, facts.model]
+        home = group.ring(facts.prefix_hashes[0])
+        if home is None or home.endpoint_id in excluded:
+            return best
+        if not self._has_room(home, reserve_share, now_ms):
+            return best
+        candidate = self._rate(facts, home)
+        if candidate.cost <= best.cost * _RING_TOLERANCE:
+            return candidate
+        return best
+
+
+def endpoint_choice(candidate: Candidate) -> EndpointChoice:
+    """Return what the gateway needs to call the endpoint."""
+    announcement = candidate.endpoint.announcement
+    capabilities = announcement.capabilities
+    first_ms = int(candidate.expected.first_token_ms)
+    cached = int(candidate.cached_share * 100)
+    return EndpointChoice(
+        announcement.endpoint_id,
+        announcement.url,
+        capabilities.resume,
+        capabilities.cancel,
+        capabilities.priority,
+        f'expected first token in {first_ms} ms, {cached}% of prompt cached',
+    )
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/deadlines.py
@@ -0,0 +1,42 @@
+"""Remember deadlines so that no later step can extend them."""
+
+from collections import OrderedDict
+
+from baobabwharf_core.ids import RequestId
+from baobabwharf_core.requests import RequestFacts
+
+_MAX_DEADLINES = 20_000
+
+
+class Deadlines:
+    """Hold the deadline of each request on the clock of this VM."""
+
+    def __init__(self, bound: int = _MAX_DEADLINES) -> None:
+        self._bound = bound
+        self._known: OrderedDict[RequestId, int] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def of(self, facts: RequestFacts, now_ms: int) -> int:
+        """Return the deadline; the first sight of a request sets it."""
+        deadline_at_ms = now_ms + facts.deadline_ms
+        known_ms = self._known.get(facts.request_id)
+        if known_ms is not None:
+            return min(known_ms, deadline_at_ms)
+        self._known[facts.request_id] = deadline_at_ms
+        if len(self._known) > self._bound:
+            self._known.popitem(last=False)
+        return deadline_at_ms
+
+    def forget(self, request_id: RequestId) -> None:
+        """Forget a request that ended."""
+        self._known.pop(request_id, None)
+
+    def expire(self, now_ms: int) -> None:
+        """Forget the oldest requests while their deadline is over."""
+        while self._known:
+            request_id, deadline_at_ms = next(iter(self._known.items()))
+            if deadline_at_ms > now_ms:
+                return
+            self._known.pop(request_id)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/endpoints.py
@@ -0,0 +1,247 @@
+"""Keep what one VM knows of one endpoint."""
+
+import enum
+from collections import deque
+
+import msgspec
+from baobabwharf_core.ids import EndpointId
+from baobabwharf_core.platform import Announcement, LoadReport
+from baobabwharf_core.requests import AttemptOutcome, RequestFacts
+from baobabwharf_core.statechart import load_chart
+
+from baobabwharf_decisions.prefixes import CacheView
+
+CHART = load_chart('endpoint_lifecycle')
+USABLE = frozenset(('serving', 'slow_start'))
+EJECTED = 'ejected'
+LEASE_MS = 3000
+HEARTBEAT_MS = 1000
+SLOW_START_MS = 5000
+_MS_PER_S = 1000
+# Priors until the first answers are measured.
+_TYPICAL_OUTPUT_TOKENS = 128
+_PLAIN_SERVICE_MS = 100.0
+# Weight of a new measurement; 0.1 follows a change within some ten answers.
+_LEARNING_RATE = 0.1
+# An engine keeps a few requests beyond its slots, since the report of a free
+# slot arrives late and the slot would stay empty until then.
+_QUEUE_SHARE = 4
+_MIN_RAMP = 0.1
+_EJECT_AFTER_FAILURES = 5
+_EJECT_MS = 2000
+_MAX_EJECT_MS = 60_000
+
+
+class LoadEstimate:
+    """Correct a late load report by what this VM sent and saw end since."""
+
+    __slots__ = ('_changes', '_own', '_report_ms', '_reported', '_since')
+
+    def __init__(self) -> None:
+        self._reported = 0
+        self._report_ms = -1
+        self._own = 0
+        self._since = 0
+        self._changes: deque[tuple[int, int]] = deque()
+
+    @property
+    def requests(self) -> int:
+        """Return the requests that the endpoint probably holds now."""
+        return max(self._own, self._reported + self._since)
+
+    @property
+    def own(self) -> int:
+        """Return the running requests of this VM."""
+        return self._own
+
+    def report(self, load: LoadReport, now_ms: int) -> None:
+        """Take a report unless it is older than the one before."""
+        taken_ms = now_ms - load.age_ms
+        if taken_ms < self._report_ms:
+            return
+        self._report_ms = taken_ms
+        self._reported = load.running + load.queued
+        while self._changes and self._changes[0][0] <= taken_ms:
+            self._since -= self._changes.popleft()[1]
+
+    def sent(self, now_ms: int) -> None:
+        """Count a request that this VM sent."""
+        self._own += 1
+        self._change(now_ms, 1)
+
+    def ended(self, now_ms: int) -> None:
+        """Count a request of this VM that ended."""
+        if self._own:
+            self._own -= 1
+            self._change(now_ms, -1)
+
+    def _change(self, now_ms: int, step: int) -> None:
+        self._since += step
+        self._changes.append((now_ms, step))
+
+
+class SpeedEstimate(msgspec.Struct):
+    """Learn times of an endpoint from its answers, in ms."""
+
+    prefill_token_ms: float
+    decode_token_ms: float
+    service_ms: float
+    output_tokens: float = _TYPICAL_OUTPUT_TOKENS
+
+    def learn(self, outcome: AttemptOutcome) -> None:
+        """Take the times of one complete answer."""
+        if not outcome.succeeded:
+            return
+        self.service_ms = _blend(self.service_ms, outcome.total_ms)
+        first_ms = outcome.first_token_ms
+        if first_ms is None or outcome.output_tokens < 2:
+            return
+        self.output_tokens = _blend(self.output_tokens, outcome.output_tokens)
+        token_ms = (outcome.total_ms - first_ms) / (outcome.output_tokens - 1)
+        self.decode_token_ms = _blend(self.decode_token_ms, token_ms)
+
+
+class Expectation(msgspec.Struct, frozen=True):
+    """Hold expected times in ms from now."""
+
+    first_token_ms: float
+    complete_ms: float
+
+
+class Health(msgspec.Struct):
+    """Count failures in a row and past ejections."""
+
+    failures_in_row: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
+
+
+class EndpointState(msgspec.Struct):
+    """Hold the state of one endpoint; tie orders equals differently per VM."""
+
+    announcement: Announcement
+    tie: float
+    state: str
+    lease_until_ms: int
+    speed: SpeedEstimate
+    load: LoadEstimate
+    health: Health
+    cache: CacheView
+    beat_sequence: int = -1
+    ramp_from_ms: int = 0
+    changed_ms: int = 0
+    rank: tuple[float, float, EndpointId] | None = None
+
+    @property
+    def endpoint_id(self) -> EndpointId:
+        """Return the id of the endpoint."""
+        return self.announcement.endpoint_id
+
+    def step(self, event: str, now_ms: int) -> bool:
+        """Apply an event of the chart; tell whether the state allows it."""
+        if not CHART.accepts(self.state, event):
+            return False
+        before = self.state
+        self.state = CHART.step(before, event)
+        if self.state != before:
+            self.changed_ms = now_ms
+            if self.state == 'slow_start':
+                self.ramp_from_ms = now_ms
+        return True
+
+    def failed(self, now_ms: int) -> bool:
+        """Count a failure; tell whether it ejected the endpoint."""
+        health = self.health
+        health.failures_in_row += 1
+        if health.failures_in_row < _EJECT_AFTER_FAILURES:
+            return False
+        if not self.step('ejected', now_ms):
+            return False
+        health.failures_in_row = 0
+        span_ms = min(_MAX_EJECT_MS, _EJECT_MS << min(health.ejections, 5))
+        health.ejected_until_ms = now_ms + span_ms
+        health.ejections += 1
+        return True
+
+    def age(self, now_ms: int) -> None:
+        """End an ejection or a slow start whose time is over."""
+        ramped = now_ms - self.ramp_from_ms >= SLOW_START_MS
+        returns = now_ms >= self.health.ejected_until_ms
+        if self.state == EJECTED and returns:
+            self.step('ejection_ended', now_ms)
+        elif self.state == 'slow_start' and ramped:
+            self.step('ramp_ended', now_ms)
+
+    def usable(self, now_ms: int, panic: bool = False) -> bool:
+        """Tell whether new work may be sent; panic includes ejected ones."""
+        if now_ms >= self.lease_until_ms:
+            return False
+        return self.state in USABLE or (panic and self.state == EJECTED)
+
+    def room(self, now_ms: int) -> int:
+        """Return how many more requests the endpoint may be sent."""
+        slots = self.announcement.slots
+        if self.state == 'slow_start':
+            share = (now_ms - self.ramp_from_ms) / SLOW_START_MS
+            slots = max(1, int(slots * min(1.0, max(_MIN_RAMP, share))))
+            return slots - self.load.requests
+        return slots + slots // _QUEUE_SHARE - self.load.requests
+
+    def expect(self, facts: RequestFacts, cached_share: float) -> Expectation:
+        """Return the expected times of a request sent now."""
+        slots = self.announcement.slots
+        excess = self.load.requests + 1 - slots
+        first_ms = 0.0
+        if excess > 0:
+            first_ms = self.speed.service_ms * excess / slots
+        if not self.announcement.models:
+            complete_ms = first_ms + self.speed.service_ms
+            return Expectation(complete_ms, complete_ms)
+        prompt = facts.prompt_tokens * (1 - cached_share)
+        first_ms += prompt * self.speed.prefill_token_ms
+        output = min(facts.max_output_tokens, self.speed.output_tokens)
+        tail_ms = output * self.speed.decode_token_ms
+        return Expectation(first_ms, first_ms + tail_ms)
+
+    def rank_now(self) -> tuple[float, float, EndpointId]:
+        """Return the place of the endpoint among those with room."""
+        fill = (self.load.requests + 1) / self.announcement.slots
+        return (
+            self.speed.service_ms * (1 + fill),
+            self.tie,
+            self.endpoint_id,
+        )
+
+
+def new_endpoint(
+    announcement: Announcement, tie: float, now_ms: int
+) -> EndpointState:
+    """Return the state of an endpoint that announced itself just now."""
+    decode_ms = _MS_PER_S / max(announcement.tokens_per_s, 0.001)
+    prefill_ms = _MS_PER_S / max(announcement.prefill_tokens_per_s, 0.001)
+    service_ms = _PLAIN_SERVICE_MS
+    if announcement.models:
+        service_ms = decode_ms * _TYPICAL_OUTPUT_TOKENS
+    return EndpointState(
+        announcement,
+        tie,
+        CHART.initial,
+        now_ms + LEASE_MS,
+        SpeedEstimate(prefill_ms, decode_ms, service_ms),
+        LoadEstimate(),
+        Health(),
+        CacheView(),
+        changed_ms=now_ms,
+    )
+
+
+def _blend(before: float, measured: float) -> float:
+    return before + (measured - before) * _LEARNING_RATE
+
+
+class BeatOutcome(enum.Enum):
+    """Tell what became of a heartbeat or an announcement."""
+
+    ACCEPTED = 'accepted'
+    STALE = 'stale'
+    UNKNOWN = 'unknown'
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/groups.py
@@ -0,0 +1,104 @@
+"""Order the endpoints that serve one service and model."""
+
+import hashlib
+from collections.abc import Iterator
+
+from baobabwharf_core.ids import EndpointId
+from sortedcontainers import SortedDict, SortedList
+
+from baobabwharf_decisions.endpoints import USABLE, EndpointState
+
+_RING_POINTS = 8
+# Below this share of healthy endpoints ejection is ignored, since the rest
+# would be overloaded by the work of the ejected ones.
+PANIC_SHARE = 0.5
+
+
+def _point(endpoint_id: EndpointId, index: int) -> int:
+    name = f'{endpoint_id} {index}'.encode()
+    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), 'big')
+
+
+class EndpointGroup:
+    """Rank endpoints with room; a full endpoint is not in the ranking."""
+
+    def __init__(self) -> None:
+        self._members: dict[EndpointId, EndpointState] = {}
+        self._ranked: SortedList = SortedList()
+        self._ring: SortedDict = SortedDict()
+        self._slots = 0
+        self._service_ms = 0.0
+
+    @property
+    def members(self) -> dict[EndpointId, EndpointState]:
+        """Return all endpoints of the group in any state."""
+        return self._members
+
+    @property
+    def slots(self) -> int:
+        """Return the slots of the usable endpoints at the last refresh."""
+        if self._slots == 0:
+            self.refresh()
+        return self._slots
+
+    @property
+    def service_ms(self) -> float:
+        """Return the mean time of a request at the last refresh, in ms."""
+        return self._service_ms
+
+    def refresh(self) -> None:
+        """Sum up the usable endpoints."""
+        usable = [
+            member
+            for member in self._members.values()
+            if member.state in USABLE
+        ]
+        self._slots = sum(member.announcement.slots for member in usable)
+        total_ms = sum(member.speed.service_ms for member in usable)
+        self._service_ms = total_ms / max(1, len(usable))
+
+    def panic(self, now_ms: int) -> bool:
+        """Tell whether so many are ejected that ejection is ignored."""
+        alive = [
+            member.state
+            for member in self._members.values()
+            if member.usable(now_ms, panic=True)
+        ]
+        healthy = len(alive) - alive.count('ejected')
+        return healthy < len(alive) * PANIC_SHARE
+
+    def add(self, endpoint: EndpointState) -> None:
+        """Add an endpoint."""
+        self._members[endpoint.endpoint_id] = endpoint
+        for index in range(_RING_POINTS):
+            point = _point(endpoint.endpoint_id, index)
+            self._ring[point] = endpoint.endpoint_id
+
+    def remove(self, endpoint: EndpointState) -> None:
+        """Remove an endpoint and its rank."""
+        if self._members.pop(endpoint.endpoint_id, None) is None:
+            return
+        for index in range(_RING_POINTS):
+            self._ring.pop(_point(endpoint.endpoint_id, index), None)
+        self.unrank(endpoint)
+
+    def rank(self, endpoint: EndpointState) -> None:
+        """Enter the rank of an endpoint."""
+        self._ranked.add(endpoint.rank)
+
+    def unrank(self, endpoint: EndpointState) -> None:
+        """Take out the rank of an endpoint."""
+        if endpoint.rank is not None:
+            self._ranked.discard(endpoint.rank)
+
+    def ranked(self) -> Iterator[EndpointState]:
+        """Return endpoints with room, the fastest first."""
+        for rank in self._ranked:
+            yield self._members[rank[2]]
+
+    def ring(self, block: int) -> EndpointState | None:
+        """Return the endpoint where a prefix unknown to all should go."""
+        if not self._ring:
+            return None
+        index = self._ring.bisect_left(block) % len(self._ring)
+        return self._members[self._ring.peekitem(index)[1]]
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/summaries.py
@@ -0,0 +1,99 @@
+"""Describe a region to the others, by service and model."""
+
+import msgspec
+from baobabwharf_core.ids import ModelId, RegionId, ServiceId
+from baobabwharf_core.requests import RequestFacts
+
+from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.groups import EndpointGroup
+
+_MAX_PREFIXES = 16
+_MAX_RECENT = 64
+
+
+class GroupSummary(msgspec.Struct, frozen=True, array_like=True):
+    """Sum up the usable endpoints of one service and model; times in ms."""
+
+    service: ServiceId
+    model: ModelId | None
+    slots: int
+    requests: int
+    service_ms: float
+    prefill_token_ms: float
+    # First blocks of prompts that are cached in the region, newest last.
+    prefixes: tuple[int, ...] = ()
+
+
+class RegionSummary(msgspec.Struct, frozen=True, array_like=True):
+    """Sum up a region; sequence grows with each summary of one origin."""
+
+    region: RegionId
+    sequence: int
+    vms: int
+    groups: tuple[GroupSummary, ...]
+
+
+class RecentPrefixes:
+    """Hold the first blocks of recent prompts."""
+
+    def __init__(self) -> None:
+        self._blocks: dict[int, None] = {}
+
+    @property
+    def newest(self) -> tuple[int, ...]:
+        """Return the blocks, newest last."""
+        return tuple(self._blocks)
+
+    def note(self, facts: RequestFacts) -> None:
+        """Take the first block of a prompt."""
+        if not facts.prefix_hashes:
+            return
+        block = facts.prefix_hashes[0]
+        self._blocks.pop(block, None)
+        self._blocks[block] = None
+        if len(self._blocks) > _MAX_RECENT:
+            self._blocks.pop(next(iter(self._blocks)))
+
+
+def summarise(
+    region: RegionId,
+    directory: Directory,
+    popular: tuple[int, ...],
+    sequence: int,
+    vms: int,
+    now_ms: int,
+) -> RegionSummary:
+    """Return the summary of what a directory holds now.
+
+    popular names the first blocks of recent prompts, newest last.
+    """
+    cached = tuple(block for block in popular if directory.index.holds(block))
+    groups = tuple(
+        _summarise_group(directory, group, key, cached, now_ms)
+        for key, group in directory.groups.items()
+    )
+    return RegionSummary(region, sequence, vms, groups)
+
+
+def _summarise_group(
+    directory: Directory,
+    group: EndpointGroup,
+    key: tuple[ServiceId, ModelId | None],
+    cached: tuple[int, ...],
+    now_ms: int,
+) -> GroupSummary:
+    usable = [
+        member
+        for member in group.members.values()
+        if directory.may_use(member, now_ms)
+    ]
+    count = max(1, len(usable))
+    return GroupSummary(
+        key[0],
+        key[1],
+        sum(member.announcement.slots for member in usable),
+        sum(member.load.requests for member in usable),
+        sum(member.speed.service_ms for member in usable) / count,
+        sum(member.speed.prefill_token_ms for member in usable) / count,
+        cached[-_MAX_PREFIXES:],
+    )
