--- a/packages/daemon/src/baobabwharf_daemon/lanes.py
+++ b/packages/daemon/src/baobabwharf_daemon/lanes.py
@@ -1,197 +1,76 @@
-"""Queue requests of this VM until an endpoint has room."""
+"""Let requests wait until the pure lanes place or refuse them."""
 
 import asyncio
-import random
 from typing import final
 
 from baobabwharf_core.clock import Clock
-from baobabwharf_core.ids import EndpointId, ModelId, RegionId, ServiceId
-from baobabwharf_core.refusals import Refusal, RefusalCode
-from baobabwharf_core.requests import AttemptOutcome, RequestFacts
-from baobabwharf_decisions.admission import Admission, Capacity, Ticket, cost
-from baobabwharf_decisions.choice import Candidate, EndpointChooser
-from baobabwharf_decisions.directory import Directory, GroupKey
-from baobabwharf_decisions.groups import EndpointGroup
-from baobabwharf_decisions.routing import HomeView
+from baobabwharf_core.ids import ServiceId
+from baobabwharf_core.refusals import Refusal
+from baobabwharf_decisions.admission import Ticket
+from baobabwharf_decisions.choice import Candidate
+from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.lanes import LaneSet
 from expression import Error, Ok, Result
 
 Placement = Result[Candidate, Refusal]
-# Part of each endpoint's slots that classes below the most urgent one leave
-# free, so that an urgent request never waits for the end of a long one.
-RESERVE_SHARE = 0.25
 
 
 @final
-class Lanes:
-    """Hold one admission queue for each service and model."""
+class WaitingRoom:
+    """Hold one future for each waiting request."""
 
     def __init__(
-        self,
-        region: RegionId,
-        clock: Clock,
-        directory: Directory,
-        rng: random.Random,
+        self, clock: Clock, directory: Directory, lanes: LaneSet
     ) -> None:
         self._clock = clock
         self._directory = directory
-        self._chooser = EndpointChooser(region, directory, rng)
-        self._lanes: dict[GroupKey, Admission] = {}
-        self._futures: dict[int, asyncio.Future[Placement]] = {}
-
-    def place_now(
-        self, facts: RequestFacts, excluded: frozenset[EndpointId], now_ms: int
-    ) -> Candidate | None:
-        """Place a request at once unless others wait before it."""
-        lane = self._lane(facts.service, facts.model)
-        if lane.blocked(facts.first_token_ms):
-            return None
-        candidate = self._choose(lane, facts, excluded, now_ms)
-        if candidate is None:
-            return None
-        self._directory.sent(candidate.endpoint.endpoint_id, now_ms)
-        lane.charge(facts, cost(facts))
-        return candidate
-
-    def enqueue(
-        self,
-        facts: RequestFacts,
-        excluded: frozenset[EndpointId],
-        deadline_at_ms: int,
-        now_ms: int,
-    ) -> Result[Ticket, Refusal]:
-        """Queue a request, or refuse it as not run."""
-        group = self._directory.groups.get((facts.service, facts.model))
-        if group is None or not self._chooser.serves(facts, now_ms):
-            return Error(
-                Refusal(
-                    RefusalCode.NO_ENDPOINT,
-                    detail=f'no endpoint serves {facts.service} here',
-                )
-            )
-        lane = self._lane(facts.service, facts.model)
-        offered = lane.offer(
-            facts, excluded, _capacity(group), deadline_at_ms, now_ms
-        )
-        if offered.is_ok():
-            loop = asyncio.get_running_loop()
-            self._futures[offered.ok.order] = loop.create_future()
-        return offered
+        self._lanes = lanes
+        self._futures: dict[Ticket, asyncio.Future[Placement]] = {}
 
     async def wait(self, ticket: Ticket) -> Placement:
         """Wait until a queued request is placed or refused."""
-        future = self._futures[ticket.order]
+        future = asyncio.get_running_loop().create_future()
+        self._futures[ticket] = future
         try:
             return await future
         except asyncio.CancelledError:
             self._abandon(ticket, future)
             raise
         finally:
-            self._futures.pop(ticket.order, None)
+            self._futures.pop(ticket, None)
 
-    def pump(self, service: ServiceId, now_ms: int) -> None:
+    def pump(self, service: ServiceId) -> None:
         """Place waiting requests of a service where there is room."""
-        for key, lane in self._lanes.items():
-            if key[0] == service and lane.waiting:
-                self._pump_lane(lane, now_ms)
+        now_ms = self._clock.now_ms()
+        for ticket, candidate in self._lanes.pump(service, now_ms):
+            self._resolve(ticket, Ok(candidate))
 
-    def tick(self, now_ms: int) -> None:
+    def tick(self) -> None:
         """Refuse requests whose time is over and place what fits."""
-        for lane in self._lanes.values():
-            if lane.waiting:
-                for ticket, refusal in lane.expire(now_ms):
-                    self._resolve(ticket, Error(refusal))
-                self._pump_lane(lane, now_ms)
-
-    def relax(self) -> None:
-        """Forget old differences between customers while nobody waits."""
-        for lane in self._lanes.values():
-            lane.relax()
-
-    def correct(self, facts: RequestFacts, outcome: AttemptOutcome) -> None:
-        """Charge what was served instead of what was expected."""
-        surplus = facts.max_output_tokens - outcome.output_tokens
-        lane = self._lane(facts.service, facts.model)
-        lane.charge(facts, -float(max(0, surplus)))
-
-    def home_view(self, facts: RequestFacts, now_ms: int) -> HomeView:
-        """Return what this region offers a request."""
-        group = self._directory.groups.get((facts.service, facts.model))
-        if group is None or not self._chooser.serves(facts, now_ms):
-            return HomeView(False, 0.0, 0.0)
-        lane = self._lane(facts.service, facts.model)
-        ahead = lane.ahead(facts.first_token_ms)
-        per_place_ms = group.service_ms / max(1, group.slots)
-        candidate = self._choose(lane, facts, frozenset(), now_ms)
-        if candidate is None:
-            first_ms = (ahead + 1) * per_place_ms + group.service_ms / 2
-            return HomeView(True, first_ms, first_ms + group.service_ms)
-        expected = candidate.expected
-        wait_ms = ahead * per_place_ms
-        return HomeView(
-            True,
-            wait_ms + expected.first_token_ms,
-            wait_ms + expected.complete_ms,
-            candidate.cached_share,
-        )
-
-    def outside(
-        self, facts: RequestFacts, excluded: frozenset[EndpointId], now_ms: int
-    ) -> frozenset[EndpointId]:
-        """Return the exclusions, or none if they leave no endpoint."""
-        group = self._directory.groups.get((facts.service, facts.model))
-        if not excluded or group is None:
-            return excluded
-        others = any(
-            self._directory.may_use(member, now_ms)
-            for endpoint_id, member in group.members.items()
-            if endpoint_id not in excluded
-        )
-        return excluded if others else frozenset()
-
-    def _choose(
-        self,
-        lane: Admission,
-        facts: RequestFacts,
-        excluded: frozenset[EndpointId],
-        now_ms: int,
-    ) -> Candidate | None:
-        urgent = lane.most_urgent(facts.first_token_ms)
-        reserve_share = 0.0 if urgent else RESERVE_SHARE
-        return self._chooser.choose(facts, excluded, reserve_share, now_ms)
-
-    def _pump_lane(self, lane: Admission, now_ms: int) -> None:
-        def fits(ticket: Ticket) -> Candidate | None:
-            return self._choose(lane, ticket.facts, ticket.excluded, now_ms)
-
-        for ticket, candidate in lane.place(fits, now_ms):
-            self._directory.sent(candidate.endpoint.endpoint_id, now_ms)
+        now_ms = self._clock.now_ms()
+        for expired, refusal in self._lanes.expire(now_ms):
+            self._resolve(expired, Error(refusal))
+        for ticket, candidate in self._lanes.pump_all(now_ms):
             self._resolve(ticket, Ok(candidate))
 
     def _resolve(self, ticket: Ticket, placement: Placement) -> None:
-        future = self._futures.get(ticket.order)
+        future = self._futures.get(ticket)
         if future is not None and not future.done():
             future.set_result(placement)
+        elif placement.is_ok():
+            self._release(placement.ok)
 
     def _abandon(
         self, ticket: Ticket, future: asyncio.Future[Placement]
     ) -> None:
-        lane = self._lane(ticket.facts.service, ticket.facts.model)
-        lane.cancel(ticket.facts.request_id)
+        self._lanes.cancel(ticket)
         if not future.done() or future.cancelled():
             return
         placement = future.result()
         if placement.is_ok():
             # The caller went away between placement and sending.
-            endpoint_id = placement.ok.endpoint.endpoint_id
-            self._directory.release(endpoint_id, self._clock.now_ms())
-
-    def _lane(self, service: ServiceId, model: ModelId | None) -> Admission:
-        lane = self._lanes.get((service, model))
-        if lane is None:
-            lane = Admission()
-            self._lanes[service, model] = lane
-        return lane
-
+            self._release(placement.ok)
 
-def _capacity(group: EndpointGroup) -> Capacity:
-    return Capacity(group.slots, group.service_ms)
+    def _release(self, candidate: Candidate) -> None:
+        endpoint_id = candidate.endpoint.endpoint_id
+        self._directory.release(endpoint_id, self._clock.now_ms())
--- a/packages/daemon/src/baobabwharf_daemon/router.py
+++ b/packages/daemon/src/baobabwharf_daemon/router.py
@@ -19,6 +19,7 @@
 from baobabwharf_decisions.deadlines import Deadlines
 from baobabwharf_decisions.directory import Directory
 from baobabwharf_decisions.explain import Decision, DecisionKind, DecisionLog
+from baobabwharf_decisions.lanes import LaneSet
 from baobabwharf_decisions.retries import RetryBudget, decide_retry
 from baobabwharf_decisions.routing import Peers, RegionDecision, RegionRouter
 from baobabwharf_decisions.summaries import RecentPrefixes
@@ -29,7 +30,7 @@
     MembershipView,
     Router,
 )
-from baobabwharf_daemon.lanes import Lanes
+from baobabwharf_daemon.lanes import WaitingRoom
 from baobabwharf_daemon.metrics import RETRIES
 
 
@@ -54,7 +55,8 @@
         self._regions = regions
         self._config = config
         self._membership = membership
-        self._lanes = Lanes(region, clock, directory, rng)
+        self._lanes = LaneSet(region, directory, rng)
+        self._waiting = WaitingRoom(clock, directory, self._lanes)
         self._log = DecisionLog()
         self._budgets: dict[ServiceId, RetryBudget] = defaultdict(RetryBudget)
         self._deadlines = Deadlines()
@@ -109,7 +111,7 @@
             return Error(ticket.error)
         detail = 'no endpoint had room'
         self._note(facts, DecisionKind.QUEUED, facts.work_class, detail)
-        placement = await self._lanes.wait(ticket.ok)
+        placement = await self._waiting.wait(ticket.ok)
         now_ms = self._clock.now_ms()
         if placement.is_error():
             self._refused(facts, placement.error)
@@ -130,7 +132,7 @@
         if outcome.succeeded:
             ending = f'answered in {outcome.total_ms} ms'
         self._note(facts, DecisionKind.ENDED, outcome.endpoint_id, ending)
-        self._lanes.pump(facts.service, now_ms)
+        self._waiting.pump(facts.service)
 
     def attempt_cancelled(
         self, facts: RequestFacts, endpoint_id: EndpointId
@@ -140,7 +142,7 @@
         self._directory.release(endpoint_id, now_ms)
         self._regions.flights.end(facts.request_id)
         self._deadlines.forget(facts.request_id)
-        self._lanes.pump(facts.service, now_ms)
+        self._waiting.pump(facts.service)
 
     def forward_ended(self, request_id: RequestId) -> None:
         """Count a request that was forwarded to another VM as ended."""
@@ -171,7 +173,7 @@
 
     def tick(self) -> None:
         """Apply what follows from time alone to the queues."""
-        self._lanes.tick(self._clock.now_ms())
+        self._waiting.tick()
 
     def slow_tick(self) -> None:
         """Forget what is over."""
--- a/packages/decisions/src/baobabwharf_decisions/admission.py
+++ b/packages/decisions/src/baobabwharf_decisions/admission.py
@@ -83,41 +83,42 @@
         """Count tokens served to a customer, or take back a surplus."""
         before = max(self._served.get(customer_id, 0.0), self._floor)
         self._served[customer_id] = max(before + tokens, self._floor)
-        if customer_id in self._heaps:
+        changed = self._served[customer_id] != before
+        if changed and customer_id in self._heaps:
             self._turn(customer_id)
 
-    def heads(self) -> Iterator[Ticket]:
-        """Return the next ticket of the customers served least."""
+    def first_fit(
+        self, fits: Callable[[Ticket], PlacedT | None]
+    ) -> tuple[Ticket, PlacedT] | None:
+        """Take out the first ticket that fits, least served first."""
         seen: list[tuple[float, int, CustomerId]] = []
-        while self._turns and len(seen) < _SCAN_CUSTOMERS:
-            turn = heapq.heappop(self._turns)
-            customer_id = turn[2]
-            heap = self._heaps.get(customer_id)
-            if heap is None or turn[0] != self._served.get(customer_id):
-                continue
+        found: tuple[Ticket, PlacedT] | None = None
+        while found is None and len(seen) < _SCAN_CUSTOMERS:
+            turn = self._next_turn()
+            if turn is None:
+                break
             seen.append(turn)
+            ticket = self._heaps[turn[2]][0]
+            placed = fits(ticket)
+            if placed is not None:
+                found = (ticket, placed)
+        if seen:
             self._floor = max(self._floor, seen[0][0])
-            yield heap[0]
+        if found is not None:
+            seen.pop()
+            self._serve(found[0])
         for turn in seen:
             heapq.heappush(self._turns, turn)
-
-    def remove_head(self, ticket: Ticket) -> None:
-        """Take out the next ticket of a customer."""
-        customer_id = ticket.facts.customer_id
-        heap = self._heaps[customer_id]
-        heapq.heappop(heap)
-        self.waiting -= 1
-        if not heap:
-            self._heaps.pop(customer_id)
+        return found
 
     def drop(self, doomed: Callable[[Ticket], bool]) -> list[Ticket]:
         """Take out all tickets that a rule names."""
         dropped: list[Ticket] = []
         for customer_id, heap in tuple(self._heaps.items()):
-            gone = [ticket for ticket in heap if doomed(ticket)]
-            if gone:
-                dropped.extend(gone)
-                self._keep(customer_id, heap, gone)
+            rest = [ticket for ticket in heap if not doomed(ticket)]
+            if len(rest) < len(heap):
+                dropped.extend(ticket for ticket in heap if doomed(ticket))
+                self._keep(customer_id, rest)
         self.waiting -= len(dropped)
         return dropped
 
@@ -132,10 +133,25 @@
             if served - self._floor > 1
         }
 
-    def _keep(
-        self, customer_id: CustomerId, heap: list[Ticket], gone: list[Ticket]
-    ) -> None:
-        rest = [ticket for ticket in heap if ticket not in gone]
+    def _next_turn(self) -> tuple[float, int, CustomerId] | None:
+        while self._turns:
+            turn = heapq.heappop(self._turns)
+            customer_id = turn[2]
+            waits = customer_id in self._heaps
+            if waits and turn[0] == self._served.get(customer_id):
+                return turn
+        return None
+
+    def _serve(self, ticket: Ticket) -> None:
+        customer_id = ticket.facts.customer_id
+        heap = self._heaps[customer_id]
+        heapq.heappop(heap)
+        self.waiting -= 1
+        if not heap:
+            self._heaps.pop(customer_id)
+        self.charge(customer_id, cost(ticket.facts))
+
+    def _keep(self, customer_id: CustomerId, rest: list[Ticket]) -> None:
         heapq.heapify(rest)
         if rest:
             self._heaps[customer_id] = rest
@@ -217,11 +233,18 @@
         self, fits: Callable[[Ticket], PlacedT | None], now_ms: int
     ) -> Iterator[tuple[Ticket, PlacedT]]:
         """Yield tickets that fit, the most urgent class first."""
+
+        def fits_in_time(ticket: Ticket) -> PlacedT | None:
+            if now_ms >= ticket.latest_start_ms:
+                return None
+            return fits(ticket)
+
         for queue in self._queues:
-            placed = self._place_one(queue, fits, now_ms)
-            while placed is not None:
-                yield placed
-                placed = self._place_one(queue, fits, now_ms)
+            found = queue.first_fit(fits_in_time) if queue.waiting else None
+            while found is not None:
+                self._forget(found[0])
+                yield found
+                found = queue.first_fit(fits_in_time)
             if queue.waiting:
                 # A less urgent class must not overtake this one.
                 return
@@ -257,25 +280,6 @@
         for queue in self._queues:
             queue.relax()
 
-    def _place_one(
-        self,
-        queue: FairQueue,
-        fits: Callable[[Ticket], PlacedT | None],
-        now_ms: int,
-    ) -> tuple[Ticket, PlacedT] | None:
-        heads = queue.heads()
-        for ticket in heads:
-            if now_ms >= ticket.latest_start_ms:
-                continue
-            placed = fits(ticket)
-            if placed is not None:
-                tuple(heads)
-                queue.remove_head(ticket)
-                self._forget(ticket)
-                queue.charge(ticket.facts.customer_id, cost(ticket.facts))
-                return ticket, placed
-        return None
-
     def _refusal(
         self,
         queue: FairQueue,
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/policy_load.py
@@ -0,0 +1,283 @@
+"""Describe deployments, scenarios and their requests."""
+
+import enum
+import math
+import random
+from itertools import product
+
+import msgspec
+from baobabwharf_core.ids import (
+    CustomerId,
+    EndpointId,
+    Incarnation,
+    ModelId,
+    RegionId,
+    RequestId,
+    ServiceId,
+    WorkClass,
+    ZoneId,
+)
+from baobabwharf_core.model import Target
+from baobabwharf_core.platform import Announcement
+from baobabwharf_core.requests import RequestFacts
+
+DURATION_MS = 600_000
+EVENT_FROM_MS = 200_000
+EVENT_UNTIL_MS = 400_000
+_MODEL = ModelId('m')
+_SLOTS = 8
+_PLAIN_SLOTS = 16
+_PEAK_PERIOD_MS = 300_000
+_PEAK_HEIGHT = 0.9
+_BATCH_SHARE = 0.2
+_OUTPUT = {'interactive': 150, 'batch': 500}
+_PROMPT_TOKENS = 800
+_PLAIN_MS = 80.0
+_PLAIN_PER_S = 6.0
+# Mean seconds of a slot for one model request of the mix above.
+_SLOT_S = 5.4
+_CUSTOMER_SHARES = (0.35, 0.27, 0.18, 0.12, 0.08)
+_SURGE_FACTOR = 5
+_PREFIXES = 12
+_BURST_S = 20.0
+
+
+class Scenario(enum.Enum):
+    """Name what happens; the value is the load as a part of capacity."""
+
+    NORMAL = ('normal', 0.5)
+    OFFSET_PEAKS = ('offset_peaks', 0.7)
+    SURGE = ('surge', 0.5)
+    HALF_LOST = ('half_lost', 0.6)
+    PARTITION = ('partition', 0.6)
+
+    @property
+    def load(self) -> float:
+        """Return the load as a part of the capacity of all engines."""
+        return self.value[1]
+
+    @property
+    def label(self) -> str:
+        """Return the name."""
+        return self.value[0]
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Describe a deployment; delays in ms one way."""
+
+    name: str
+    regions: tuple[RegionId, ...]
+    engines: tuple[int, ...]
+    zone_delay_ms: float
+    region_delay_ms: float
+    link_mbit_s: float
+    targets: dict[str, Target]
+    weighs: tuple[str, str]
+
+
+def _targets(first_ms: int, complete_ms: int, away: float) -> dict[str, Target]:
+    return {
+        'interactive': Target(
+            WorkClass('interactive'), first_ms, complete_ms, away
+        ),
+        'batch': Target(WorkClass('batch'), 60_000, 180_000, away),
+    }
+
+
+ROTAWEN = Deployment(
+    'rotawen',
+    (RegionId('tunis-a'), RegionId('sfax-a'), RegionId('sousse-a')),
+    (2, 2, 2),
+    2.0,
+    30.0,
+    1000.0,
+    _targets(1000, 20_000, 0.5),
+    ('tail_ms', 'wrongful'),
+)
+SAMITI = Deployment(
+    'samiti',
+    (
+        RegionId('darjeeling-a'),
+        RegionId('kalimpong-a'),
+        RegionId('kurseong-a'),
+    ),
+    (2, 2, 1),
+    5.0,
+    40.0,
+    40.0,
+    _targets(2500, 30_000, 0.1),
+    ('cost', 'away'),
+)
+
+
+class Request(msgspec.Struct, eq=False):
+    """Follow one request; times in ms."""
+
+    facts: RequestFacts
+    region: RegionId
+    arrival_ms: float
+    inside: bool
+    output_tokens: int
+    service_ms: float
+    first_ms: float | None = None
+    done_ms: float | None = None
+    refused: bool = False
+    attempts: int = 0
+    crossed: bool = False
+
+    @property
+    def deadline_at_ms(self) -> float:
+        """Return the time at which the caller gives up."""
+        return self.arrival_ms + self.facts.deadline_ms
+
+
+def announcements(deployment: Deployment) -> list[Announcement]:
+    """Return all endpoints of a deployment."""
+    made = []
+    for region, count in zip(
+        deployment.regions, deployment.engines, strict=True
+    ):
+        for index in range(count):
+            made.append(_engine(region, index))
+        made.append(_plain(region))
+    return made
+
+
+def _engine(region: RegionId, index: int) -> Announcement:
+    name = EndpointId(f'{region}-engine-{index}')
+    return Announcement(
+        name,
+        ServiceId('model'),
+        region,
+        ZoneId(f'{region}-{index}'),
+        f'http://{name}',
+        Incarnation(1),
+        (_MODEL,),
+        slots=_SLOTS,
+    )
+
+
+def _plain(region: RegionId) -> Announcement:
+    name = EndpointId(f'{region}-plain')
+    return Announcement(
+        name,
+        ServiceId('plain'),
+        region,
+        ZoneId(f'{region}-0'),
+        f'http://{name}',
+        Incarnation(1),
+        slots=_PLAIN_SLOTS,
+    )
+
+
+class LoadSource:
+    """Draw the requests of one run; all policies get the same ones."""
+
+    def __init__(
+        self, deployment: Deployment, scenario: Scenario, seed: int
+    ) -> None:
+        self._deployment = deployment
+        self._scenario = scenario
+        self._rng = random.Random(f'load {seed}')
+        self._levels: dict[int, tuple[float, float]] = {}
+        self._count = 0
+
+    def requests(self) -> list[Request]:
+        """Return all requests in the order of arrival."""
+        total = self._model_per_s()
+        drawn: list[Request] = []
+        regions = self._deployment.regions
+        customers = range(len(_CUSTOMER_SHARES))
+        for region, customer in product(regions, customers):
+            part = _CUSTOMER_SHARES[customer]
+            part *= self._region_share(customer, regions.index(region))
+            drawn.extend(self._stream(region, customer, 'model', total * part))
+            drawn.extend(
+                self._stream(region, customer, 'plain', _PLAIN_PER_S * part)
+            )
+        drawn.sort(key=_arrival)
+        for request in drawn:
+            request.inside = self._is_inside(request, total)
+        return drawn
+
+    def _model_per_s(self) -> float:
+        slots = sum(self._deployment.engines) * _SLOTS
+        return slots / _SLOT_S * self._scenario.load
+
+    def _region_share(self, customer: int, region: int) -> float:
+        home = customer % len(self._deployment.regions)
+        if customer == 3:
+            return float(region == home)
+        return 0.5 if region == home else 0.25
+
+    def _stream(
+        self, region: RegionId, customer: int, service: str, per_s: float
+    ) -> list[Request]:
+        drawn = []
+        at_ms = 0.0
+        ceiling = per_s * _SURGE_FACTOR * 2 / 1000
+        while ceiling > 0:
+            at_ms += self._rng.expovariate(ceiling)
+            if at_ms >= DURATION_MS:
+                break
+            factor = self._factor(region, customer, at_ms)
+            if self._rng.random() * _SURGE_FACTOR * 2 < factor:
+                drawn.append(self._request(region, customer, service, at_ms))
+        return drawn
+
+    def _factor(self, region: RegionId, customer: int, at_ms: float) -> float:
+        if self._scenario in {Scenario.OFFSET_PEAKS, Scenario.PARTITION}:
+            index = self._deployment.regions.index(region)
+            phase = at_ms / _PEAK_PERIOD_MS + index / 3
+            return 1 + _PEAK_HEIGHT * math.sin(2 * math.pi * phase)
+        surging = self._scenario is Scenario.SURGE and customer == 0
+        if surging and EVENT_FROM_MS <= at_ms < EVENT_UNTIL_MS:
+            return _SURGE_FACTOR
+        return 1
+
+    def _request(
+        self, region: RegionId, customer: int, service: str, at_ms: float
+    ) -> Request:
+        rng = self._rng
+        batch = service == 'model' and rng.random() < _BATCH_SHARE
+        work_class = 'batch' if batch else 'interactive'
+        target = self._deployment.targets[work_class]
+        prefix = customer * _PREFIXES + int(rng.paretovariate(1)) % _PREFIXES
+        spread = rng.lognormvariate(0, 0.4)
+        output = max(5, int(_OUTPUT[work_class] * spread))
+        self._count += 1
+        chat = service == 'model'
+        facts = RequestFacts(
+            RequestId(f'q{self._count}'),
+            CustomerId(f'c{customer}'),
+            ServiceId(service),
+            WorkClass(work_class),
+            (region,) if customer == 3 else (),
+            target.complete_ms,
+            target.first_token_ms,
+            _MODEL if chat else None,
+            prompt_tokens=_PROMPT_TOKENS if chat else 0,
+            max_output_tokens=output * 2 if chat else 0,
+            body_bytes=4000,
+            prefix_hashes=tuple(range(prefix * 100, prefix * 100 + 10))
+            if chat
+            else (),
+        )
+        return Request(facts, region, at_ms, True, output, _PLAIN_MS * spread)
+
+    def _is_inside(self, request: Request, total: float) -> bool:
+        """Tell whether a request is within twice the mean rate."""
+        if self._scenario is not Scenario.SURGE:
+            return True
+        customer = int(request.facts.customer_id[1:])
+        per_s = (total + _PLAIN_PER_S) * _CUSTOMER_SHARES[customer] * 1.5
+        level, at_ms = self._levels.get(customer, (per_s * _BURST_S, 0.0))
+        level += (request.arrival_ms - at_ms) / 1000 * per_s
+        level = min(per_s * _BURST_S, level)
+        inside = level >= 1
+        self._levels[customer] = (level - inside, request.arrival_ms)
+        return inside
+
+
+def _arrival(request: Request) -> float:
+    return request.arrival_ms
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/policy_model.py
@@ -0,0 +1,249 @@
+"""Model engines, links and time for the comparison of policies."""
+
+import heapq
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from baobabwharf_core.ids import RegionId
+from baobabwharf_core.platform import (
+    Announcement,
+    CacheEvent,
+    CacheEventKind,
+    Heartbeat,
+    LoadReport,
+)
+from baobabwharf_core.requests import RequestFacts
+
+REPORT_LAG_MS = 300
+_BEAT_MS = 1000
+# Each batch of cache events is lost with this chance.
+_GAP_CHANCE = 0.05
+_CACHE_BLOCKS = 400
+# A full batch decodes slower than a single stream by this part.
+_BATCH_SLOWDOWN = 0.5
+
+
+Action = Callable[..., None]
+
+
+class Simulation:
+    """Run events in the order of their time in ms."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._order = 0
+        self._events: list[tuple[float, int, Action, Any]] = []
+
+    @property
+    def clock_ms(self) -> int:
+        """Return the time in whole ms, as the decisions see it."""
+        return int(self.now_ms)
+
+    def at(self, when_ms: float, action: Action, *more: Any) -> None:
+        """Run an action at a time."""
+        self._order += 1
+        when_ms = max(when_ms, self.now_ms)
+        heapq.heappush(self._events, (when_ms, self._order, action, more))
+
+    def after(self, span_ms: float, action: Action, *more: Any) -> None:
+        """Run an action after a span."""
+        self.at(self.now_ms + span_ms, action, *more)
+
+    def every(self, span_ms: float, action: Callable[[], None]) -> None:
+        """Run an action again and again."""
+
+        def again() -> None:
+            action()
+            self.after(span_ms, again)
+
+        self.after(span_ms, again)
+
+    def run(self, until_ms: float) -> None:
+        """Run all events up to a time."""
+        while self._events and self._events[0][0] <= until_ms:
+            when_ms, _order, action, more = heapq.heappop(self._events)
+            self.now_ms = when_ms
+            action(*more)
+
+
+class Job(msgspec.Struct, eq=False):
+    """Hold one request at an endpoint and whom to tell."""
+
+    facts: RequestFacts
+    output_tokens: int
+    service_ms: float
+    deadline_at_ms: float
+    on_first: Callable[[], None]
+    on_end: Callable[[bool], None]
+    ended: bool = False
+
+
+class EndpointModel:
+    """Batch requests in slots, prefill one prompt at a time, cache prefixes."""
+
+    def __init__(
+        self, sim: Simulation, announcement: Announcement, rng: random.Random
+    ) -> None:
+        self.announcement = announcement
+        self.alive = True
+        self.busy_ms = 0.0
+        self._sim = sim
+        self._rng = rng
+        self._running: set[Job] = set()
+        self._queue: deque[Job] = deque()
+        self._prefill_free_ms = 0.0
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._events: list[CacheEvent] = []
+        self._sequence = 0
+        self._beats = 0
+
+    @property
+    def region(self) -> RegionId:
+        """Return the region of the endpoint."""
+        return self.announcement.region
+
+    def submit(self, job: Job) -> None:
+        """Run a request or queue it; a dead endpoint fails it at once."""
+        if not self.alive:
+            self._end(job, False)
+            return
+        if len(self._running) >= self.announcement.slots:
+            self._queue.append(job)
+            return
+        self._start(job)
+
+    def die(self) -> None:
+        """Fail all requests and stop."""
+        self.alive = False
+        for job in (*self._running, *self._queue):
+            self._end(job, False)
+        self._running.clear()
+        self._queue.clear()
+        self.chill()
+
+    def chill(self) -> None:
+        """Lose all cached prefixes."""
+        for block in self._cache:
+            self._note(CacheEventKind.EVICTED, block)
+        self._cache.clear()
+
+    def beat(self, deliver: Callable[[Heartbeat], None]) -> None:
+        """Report load and cache events again and again, late."""
+
+        def report() -> None:
+            if not self.alive:
+                return
+            self._beats += 1
+            load = LoadReport(
+                len(self._running), len(self._queue), REPORT_LAG_MS
+            )
+            events = tuple(self._events)
+            self._events.clear()
+            if self._rng.random() < _GAP_CHANCE:
+                events = ()
+            name = self.announcement.endpoint_id
+            beat = Heartbeat(
+                name, self.announcement.incarnation, self._beats, load, events
+            )
+            self._sim.after(REPORT_LAG_MS, deliver, beat)
+
+        self._sim.every(_BEAT_MS, report)
+
+    def _start(self, job: Job) -> None:
+        self._running.add(job)
+        now_ms = self._sim.now_ms
+        if not self.announcement.models:
+            self.busy_ms += job.service_ms / self.announcement.slots
+            self._sim.after(job.service_ms, self._first, job)
+            self._sim.after(job.service_ms, self._finish, job)
+            return
+        rate = self.announcement.prefill_tokens_per_s
+        uncached = job.facts.prompt_tokens * (1 - self._use_cache(job.facts))
+        prefill_ms = uncached * 1000 / rate
+        begin_ms = max(now_ms, self._prefill_free_ms)
+        self._prefill_free_ms = begin_ms + prefill_ms
+        fill = len(self._running) / self.announcement.slots
+        token_ms = 1000 / self.announcement.tokens_per_s
+        token_ms *= 1 + _BATCH_SLOWDOWN * fill
+        decode_ms = token_ms * job.output_tokens
+        self.busy_ms += prefill_ms + decode_ms / self.announcement.slots
+        first_ms = self._prefill_free_ms + token_ms
+        self._sim.at(first_ms, self._first, job)
+        self._sim.at(first_ms + decode_ms, self._finish, job)
+
+    def _first(self, job: Job) -> None:
+        if not job.ended:
+            job.on_first()
+
+    def _finish(self, job: Job) -> None:
+        if job.ended:
+            return
+        self._running.discard(job)
+        self._end(job, True)
+        while self._queue and len(self._running) < self.announcement.slots:
+            waiting = self._queue.popleft()
+            if waiting.deadline_at_ms <= self._sim.now_ms:
+                self._end(waiting, False)
+            else:
+                self._start(waiting)
+
+    def _end(self, job: Job, succeeded: bool) -> None:
+        if not job.ended:
+            job.ended = True
+            job.on_end(succeeded)
+
+    def _use_cache(self, facts: RequestFacts) -> float:
+        hits = 0
+        for block in facts.prefix_hashes:
+            if block not in self._cache:
+                break
+            hits += 1
+        for block in facts.prefix_hashes:
+            if block in self._cache:
+                self._cache.move_to_end(block)
+            else:
+                self._cache[block] = None
+                self._note(CacheEventKind.STORED, block)
+        while len(self._cache) > _CACHE_BLOCKS:
+            oldest, _none = self._cache.popitem(last=False)
+            self._note(CacheEventKind.EVICTED, oldest)
+        # The last part of each prompt is its own and never cached.
+        own = len(facts.prefix_hashes) + 2
+        return hits / own
+
+    def _note(self, kind: CacheEventKind, block: int) -> None:
+        self._sequence += 1
+        self._events.append(CacheEvent(self._sequence, kind, block))
+
+
+class LinkModel:
+    """Delay and queue bytes one way between two regions."""
+
+    def __init__(
+        self,
+        sim: Simulation,
+        delay_ms: float,
+        bytes_per_ms: float,
+        rng: random.Random,
+    ) -> None:
+        self.cut = False
+        self.sent_bytes = 0.0
+        self._sim = sim
+        self._delay_ms = delay_ms
+        self._bytes_per_ms = bytes_per_ms
+        self._rng = rng
+        self._free_ms = 0.0
+
+    def send(self, size: float, action: Action, *more: Any) -> bool:
+        """Run an action when the bytes have arrived; false if cut."""
+        if self.cut:
+            return False
+        self.sent_bytes += size
+        begin_ms = max(self._sim.now_ms, self._free_ms)
+        self._free_ms = begin_ms + size / self._bytes_per_ms
+        delay_ms = self._delay_ms * self._rng.uniform(1, 1.2)
+        self._sim.at(self._free_ms + delay_ms, action, *more)
+        return True
