Routing: estimate the wait before all slots of a region are taken

Cause: work left a region only when it was full, so that work bound to it waited at its peak.

Ruled out: fewer requests queued in engines (a quarter or an eighth of the slots: no difference beyond the spread).

Change: home and other regions are compared by Sakasegawa's estimate of the wait; work may leave above a tenth of the target. Prompts of the model end in blocks of their own.

--- a/packages/decisions/src/baobabwharf_decisions/directory.py
+++ b/packages/decisions/src/baobabwharf_decisions/directory.py
@@ -9,6 +9,7 @@
 
 from baobabwharf_decisions.endpoints import (
     LEASE_MS,
+    USABLE,
     BeatOutcome,
     EndpointState,
     new_endpoint,
@@ -180,10 +181,12 @@
 
     def _remove(self, known: EndpointState) -> None:
         for key in _group_keys(known.announcement):
+            self._groups[key].requests -= known.counted
             self._groups[key].remove(known)
             if not self._groups[key].members:
                 self._groups.pop(key)
         known.rank = None
+        known.counted = 0
         self._index.remove(known.endpoint_id, list(known.cache.blocks))
         self._endpoints.pop(known.endpoint_id)
 
@@ -196,9 +199,13 @@
     def _rerank(self, known: EndpointState, now_ms: int) -> None:
         ranked = self.may_use(known, now_ms) and known.room(now_ms) > 0
         rank = known.rank_now() if ranked else None
-        if rank == known.rank:
+        counted = known.load.requests if known.state in USABLE else 0
+        if rank == known.rank and counted == known.counted:
             return
         groups = [self._groups[key] for key in _group_keys(known.announcement)]
+        for each in groups:
+            each.requests += counted - known.counted
+        known.counted = counted
         for group in groups:
             group.unrank(known)
         known.rank = rank
--- a/packages/decisions/src/baobabwharf_decisions/endpoints.py
+++ b/packages/decisions/src/baobabwharf_decisions/endpoints.py
@@ -25,7 +25,7 @@
 _LEARNING_RATE = 0.1
 # An engine keeps a few requests beyond its slots, since the report of a free
 # slot arrives late and the slot would stay empty until then.
-_QUEUE_SHARE = 4
+_QUEUE_SHARE = 8
 _MIN_RAMP = 0.1
 _EJECT_AFTER_FAILURES = 5
 _EJECT_MS = 2000
@@ -131,6 +131,8 @@
     ramp_from_ms: int = 0
     changed_ms: int = 0
     rank: tuple[float, float, EndpointId] | None = None
+    # Requests counted in the sums of the groups.
+    counted: int = 0
 
     @property
     def endpoint_id(self) -> EndpointId:
--- a/packages/decisions/src/baobabwharf_decisions/groups.py
+++ b/packages/decisions/src/baobabwharf_decisions/groups.py
@@ -26,6 +26,7 @@
         self._members: dict[EndpointId, EndpointState] = {}
         self._ranked: SortedList = SortedList()
         self._ring: SortedDict = SortedDict()
+        self.requests = 0
         self._slots = 0
         self._service_ms = 0.0
 
--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -13,6 +13,7 @@
 from baobabwharf_decisions.directory import Directory, GroupKey
 from baobabwharf_decisions.groups import EndpointGroup
 from baobabwharf_decisions.routing import HomeView
+from baobabwharf_decisions.waiting import expected_wait_ms
 
 # Part of each endpoint's slots that classes below the most urgent one leave
 # free, so that an urgent request never waits for the end of a long one.
@@ -110,13 +111,13 @@
             return HomeView(False, 0.0, 0.0)
         lane = self._lane(facts.service, facts.model)
         ahead = lane.ahead(facts.first_token_ms)
-        per_place_ms = group.service_ms / max(1, group.slots)
+        wait_ms = expected_wait_ms(
+            group.requests + ahead, group.slots, group.service_ms
+        )
         candidate = self._choose(lane, facts, frozenset(), now_ms)
         if candidate is None:
-            first_ms = (ahead + 1) * per_place_ms + group.service_ms / 2
-            return HomeView(True, first_ms, first_ms + group.service_ms)
+            return HomeView(True, wait_ms, wait_ms + group.service_ms)
         expected = candidate.expected
-        wait_ms = ahead * per_place_ms
         return HomeView(
             True,
             wait_ms + expected.first_token_ms,
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -17,6 +17,7 @@
     SentRecord,
 )
 from baobabwharf_decisions.summaries import GroupSummary, RegionSummary
+from baobabwharf_decisions.waiting import expected_wait_ms
 
 # A region is known no longer after ten missed summaries.
 SUMMARY_LIFETIME_MS = 5000
@@ -27,7 +28,7 @@
 # together before its next report; above it they would all fill it twice.
 _ROOM_SHARE = 0.5
 # Work stays at home while it is expected within this part of the target.
-_STAY_SHARE = 0.5
+_STAY_SHARE = 0.1
 # Another region must be faster by this part of the expected time at home.
 _MARGIN_SHARE = 0.2
 _DEFAULT_DELAY_MS = 50.0
@@ -333,8 +334,7 @@
 
 
 def _time_there(group: GroupSummary, facts: RequestFacts, load: int) -> float:
-    excess = max(0, load + 1 - group.slots)
-    wait_ms = excess * group.service_ms / group.slots
+    wait_ms = expected_wait_ms(load, group.slots, group.service_ms)
     if not facts.prompt_tokens:
         return wait_ms + group.service_ms
     prompt_ms = facts.prompt_tokens * group.prefill_token_ms
--- a/packages/testkit/src/baobabwharf_testkit/policy_load.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_load.py
@@ -260,12 +260,16 @@
             prompt_tokens=_PROMPT_TOKENS if chat else 0,
             max_output_tokens=output * 2 if chat else 0,
             body_bytes=4000,
-            prefix_hashes=tuple(range(prefix * 100, prefix * 100 + 10))
-            if chat
-            else (),
+            prefix_hashes=self._blocks(prefix) if chat else (),
         )
         return Request(facts, region, at_ms, True, output, _PLAIN_MS * spread)
 
+    def _blocks(self, prefix: int) -> tuple[int, ...]:
+        """Return ten shared blocks and two that no other prompt has."""
+        shared = range(prefix * 100, prefix * 100 + 10)
+        own = 1_000_000 + self._count * 2
+        return (*shared, own, own + 1)
+
     def _is_inside(self, request: Request, total: float) -> bool:
         """Tell whether a request is within twice the mean rate."""
         if self._scenario is not Scenario.SURGE:
--- a/packages/testkit/src/baobabwharf_testkit/policy_model.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_model.py
@@ -224,9 +224,7 @@
         while len(self._cache) > _CACHE_BLOCKS:
             oldest, _none = self._cache.popitem(last=False)
             self._note(CacheEventKind.EVICTED, oldest)
-        # The last part of each prompt is its own and never cached.
-        own = len(facts.prefix_hashes) + 2
-        return hits / own
+        return hits / max(1, len(facts.prefix_hashes))
 
     def _note(self, kind: CacheEventKind, block: int) -> None:
         self._sequence += 1
