Routing: expect prompts to be prefilled one after the other

Cause: requests that a VM sent to one engine in quick succession waited for each other's prefill, which the expectation left out.

--- a/packages/decisions/src/baobabwharf_decisions/choice.py
+++ b/packages/decisions/src/baobabwharf_decisions/choice.py
@@ -58,7 +58,7 @@
         for endpoint in self._candidates(facts, excluded):
             if not self._has_room(endpoint, reserve_share, now_ms):
                 continue
-            candidate = self._rate(facts, endpoint)
+            candidate = self._rate(facts, endpoint, now_ms)
             if best is None or candidate.cost < best.cost:
                 best = candidate
             rated += 1
@@ -114,9 +114,11 @@
         allowed = endpoint.announcement.slots * (1 - reserve_share)
         return endpoint.load.requests < allowed
 
-    def _rate(self, facts: RequestFacts, endpoint: EndpointState) -> Candidate:
+    def _rate(
+        self, facts: RequestFacts, endpoint: EndpointState, now_ms: int
+    ) -> Candidate:
         cached_share = endpoint.cache.trusted_share(facts.prefix_hashes)
-        expected = endpoint.expect(facts, cached_share)
+        expected = endpoint.expect(facts, cached_share, now_ms)
         cost = expected.first_token_ms / max(1, facts.first_token_ms)
         cost += expected.complete_ms / max(1, facts.deadline_ms)
         cost *= 1 + self._rng.random() * _SPREAD
@@ -138,7 +140,7 @@
             return best
         if not self._has_room(home, reserve_share, now_ms):
             return best
-        candidate = self._rate(facts, home)
+        candidate = self._rate(facts, home, now_ms)
         if candidate.cost <= best.cost * _RING_TOLERANCE:
             return candidate
         return best
--- a/packages/decisions/src/baobabwharf_decisions/directory.py
+++ b/packages/decisions/src/baobabwharf_decisions/directory.py
@@ -90,10 +90,12 @@
         self._take_beat(known, beat, now_ms, age_ms)
         return Step(BeatOutcome.ACCEPTED, known.state)
 
-    def sent(self, endpoint_id: EndpointId, now_ms: int) -> None:
+    def sent(
+        self, endpoint_id: EndpointId, prefill_ms: float, now_ms: int
+    ) -> None:
         """Count a request that this VM sends to an endpoint."""
         known = self._endpoints[endpoint_id]
-        known.load.sent(now_ms)
+        known.sent(prefill_ms, now_ms)
         self._rerank(known, now_ms)
 
     def release(self, endpoint_id: EndpointId, now_ms: int) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/endpoints.py
+++ b/packages/decisions/src/baobabwharf_decisions/endpoints.py
@@ -102,10 +102,11 @@
 
 
 class Expectation(msgspec.Struct, frozen=True):
-    """Hold expected times in ms from now."""
+    """Hold expected times in ms from now, and the length of the prefill."""
 
     first_token_ms: float
     complete_ms: float
+    prefill_ms: float = 0.0
 
 
 class Health(msgspec.Struct):
@@ -133,6 +134,8 @@
     rank: tuple[float, float, EndpointId] | None = None
     # Requests counted in the sums of the groups.
     counted: int = 0
+    # When the prompts that this VM sent are probably prefilled.
+    prefill_until_ms: float = 0.0
 
     @property
     def endpoint_id(self) -> EndpointId:
@@ -189,7 +192,9 @@
             return slots - self.load.requests
         return slots + slots // _QUEUE_SHARE - self.load.requests
 
-    def expect(self, facts: RequestFacts, cached_share: float) -> Expectation:
+    def expect(
+        self, facts: RequestFacts, cached_share: float, now_ms: int
+    ) -> Expectation:
         """Return the expected times of a request sent now."""
         slots = self.announcement.slots
         excess = self.load.requests + 1 - slots
@@ -200,10 +205,18 @@
             complete_ms = first_ms + self.speed.service_ms
             return Expectation(complete_ms, complete_ms)
         prompt = facts.prompt_tokens * (1 - cached_share)
-        first_ms += prompt * self.speed.prefill_token_ms
+        prefill_ms = prompt * self.speed.prefill_token_ms
+        # Engines prefill one prompt after the other.
+        first_ms = max(first_ms, self.prefill_until_ms - now_ms) + prefill_ms
         output = min(facts.max_output_tokens, self.speed.output_tokens)
         tail_ms = output * self.speed.decode_token_ms
-        return Expectation(first_ms, first_ms + tail_ms)
+        return Expectation(first_ms, first_ms + tail_ms, prefill_ms)
+
+    def sent(self, prefill_ms: float, now_ms: int) -> None:
+        """Count a request that this VM sends."""
+        self.load.sent(now_ms)
+        begin_ms = max(self.prefill_until_ms, now_ms)
+        self.prefill_until_ms = begin_ms + prefill_ms
 
     def rank_now(self) -> tuple[float, float, EndpointId]:
         """Return the place of the endpoint among those with room."""
--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -43,7 +43,7 @@
         candidate = self._choose(lane, facts, excluded, now_ms)
         if candidate is None:
             return None
-        self._directory.sent(candidate.endpoint.endpoint_id, now_ms)
+        self._send(candidate, now_ms)
         lane.charge(facts, cost(facts))
         return candidate
 
@@ -157,9 +157,14 @@
             return self._choose(lane, ticket.facts, ticket.excluded, now_ms)
 
         for ticket, candidate in lane.place(fits, now_ms):
-            self._directory.sent(candidate.endpoint.endpoint_id, now_ms)
+            self._send(candidate, now_ms)
             yield ticket, candidate
 
+    def _send(self, candidate: Candidate, now_ms: int) -> None:
+        prefill_ms = candidate.expected.prefill_ms
+        endpoint_id = candidate.endpoint.endpoint_id
+        self._directory.sent(endpoint_id, prefill_ms, now_ms)
+
     def _lane(self, service: ServiceId, model: ModelId | None) -> Admission:
         lane = self._lanes.get((service, model))
         if lane is None:
--- a/packages/testkit/src/baobabwharf_testkit/microbench.py
+++ b/packages/testkit/src/baobabwharf_testkit/microbench.py
@@ -130,7 +130,7 @@
         facts = requests[index % 100]
         candidate = chooser.choose(facts, frozenset(), 0.0, 10)
         if candidate is not None:
-            directory.sent(candidate.endpoint.endpoint_id, 10)
+            directory.sent(candidate.endpoint.endpoint_id, 0.0, 10)
             held.append(candidate.endpoint.endpoint_id)
         # The oldest request ends, so that a part of the fleet stays free.
         if len(held) > count:
