Routing: do not ask endpoints of a region that residency excludes

Cause: choosing the region looked up endpoints at home before it compared the residency, which broke the invariant of the endpoint choice for each customer that is bound to another region.

Change: the view of the home region says "does not serve" in that case. Random runs with invariants, and seven deliberate faults, each caught by its check: second hop by hops, booking retried by retry, residency checked at the entry only by residency, cache gap believed by cache, lease ignored by lease, deadline restarted by deadline, spill not damped by spill.

--- /dev/null
+++ b/features/unit/routing_runs.feature
@@ -0,0 +1,40 @@
+Feature: Routing decisions in random runs
+  Guards against requests that leave their residency, cross twice, reach an
+  endpoint that left, are repeated although they may have run, or outlive
+  their deadline; and against checks that cannot fail.
+
+  Scenario Outline: No invariant is broken in random runs
+    When routing runs <count> random runs from seed <seed>
+    Then no routing invariant is broken
+    And the routing runs placed, forwarded, refused and retried requests
+
+    Examples:
+      | seed | count |
+      | 1    | 5     |
+      | 1000 | 5     |
+
+  Scenario Outline: The routing check "<check>" catches the fault "<fault>"
+    When routing runs 3 random runs from seed 1 with the fault "<fault>"
+    Then the routing check "<check>" is broken
+
+    Examples:
+      | fault               | check     |
+      | second hop          | hops      |
+      | booking retried     | retry     |
+      | residency at entry  | residency |
+      | cache gap believed  | cache     |
+      | lease ignored       | lease     |
+      | deadline restarted  | deadline  |
+      | spill not damped    | spill     |
+
+  Scenario: A class with an away share of zero never leaves its region
+    When routing sends 200 requests of a class that may not leave
+    Then routing kept all of them at home
+
+  Scenario: The away share of a target is kept under pressure
+    When routing sends 400 requests with an away share of 0.25 under pressure
+    Then routing moved at least 50 and at most 108 of them
+
+  Scenario: An endpoint that fails is ejected, returns slowly, and panic ends it
+    Then routing ejects one failing endpoint of three
+    And routing ignores ejection when most endpoints fail
--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -29,6 +29,7 @@
         directory: Directory,
         rng: random.Random,
     ) -> None:
+        self._region = region
         self._directory = directory
         self._chooser = EndpointChooser(region, directory, rng)
         self._lanes: dict[GroupKey, Admission] = {}
@@ -106,6 +107,8 @@
 
     def home_view(self, facts: RequestFacts, now_ms: int) -> HomeView:
         """Return what this region offers a request."""
+        if facts.residency and self._region not in facts.residency:
+            return HomeView(False, 0.0, 0.0)
         group = self._directory.groups.get((facts.service, facts.model))
         if group is None or not self._chooser.serves(facts, now_ms):
             return HomeView(False, 0.0, 0.0)
