Routing: count what the other VMs of a region sent since a report

Cause: with two VMs in a region each saw only half of what went to an engine since its last report, so both filled the same engine.

Change: the part of a load estimate that is newer than the report is multiplied by the live VMs of the region, at most 3.

--- a/packages/daemon/src/baobabwharf_daemon/router.py
+++ b/packages/daemon/src/baobabwharf_daemon/router.py
@@ -178,6 +178,9 @@
     def slow_tick(self) -> None:
         """Forget what is over."""
         now_ms = self._clock.now_ms()
+        self._directory.vms = sum(
+            vm.region == self._region for vm in self._membership.live_vms()
+        )
         self._directory.tick(now_ms)
         self._regions.flights.expire(now_ms)
         self._lanes.relax()
--- a/packages/decisions/src/baobabwharf_decisions/directory.py
+++ b/packages/decisions/src/baobabwharf_decisions/directory.py
@@ -38,6 +38,8 @@
         self._groups: dict[GroupKey, EndpointGroup] = {}
         self._index = PrefixIndex()
         self._panic: set[ServiceId] = set()
+        # Live VMs of the region, this one included.
+        self.vms = 1
 
     @property
     def endpoints(self) -> dict[EndpointId, EndpointState]:
@@ -133,6 +135,7 @@
     def tick(self, now_ms: int) -> None:
         """Apply what follows from time alone."""
         for known in tuple(self._endpoints.values()):
+            known.load.vms = self.vms
             if now_ms >= known.lease_until_ms:
                 self._expire(known, now_ms)
             else:
--- a/packages/decisions/src/baobabwharf_decisions/endpoints.py
+++ b/packages/decisions/src/baobabwharf_decisions/endpoints.py
@@ -27,27 +27,35 @@
 # slot arrives late and the slot would stay empty until then.
 _QUEUE_SHARE = 8
 _MIN_RAMP = 0.1
+# What one VM sent says little about many others.
+_MAX_VMS = 3
 _EJECT_AFTER_FAILURES = 5
 _EJECT_MS = 2000
 _MAX_EJECT_MS = 60_000
 
 
 class LoadEstimate:
-    """Correct a late load report by what this VM sent and saw end since."""
+    """Correct a late load report by what was sent and ended since.
 
-    __slots__ = ('_changes', '_own', '_report_ms', '_reported', '_since')
+    This VM knows its own part of that; the other VMs of the region, counted
+    by vms, probably did about as much.
+    """
+
+    __slots__ = ('_changes', '_own', '_report_ms', '_reported', '_since', 'vms')
 
     def __init__(self) -> None:
         self._reported = 0
         self._report_ms = -1
         self._own = 0
         self._since = 0
+        self.vms = 1
         self._changes: deque[tuple[int, int]] = deque()
 
     @property
     def requests(self) -> int:
         """Return the requests that the endpoint probably holds now."""
-        return max(self._own, self._reported + self._since)
+        since = self._since * min(self.vms, _MAX_VMS)
+        return max(self._own, self._reported + since)
 
     @property
     def own(self) -> int:
--- a/packages/testkit/src/baobabwharf_testkit/policies.py
+++ b/packages/testkit/src/baobabwharf_testkit/policies.py
@@ -227,6 +227,7 @@
         rng = random.Random(f'{region} {index} {world.rng.random()}')
         self.rng = rng
         self.directory = Directory(rng)
+        self.directory.vms = VMS_PER_REGION
         self.lanes = LaneSet(region, self.directory, rng)
         deployment = world.deployment
         links = {
