--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/registration.py
@@ -0,0 +1,94 @@
+"""Register this VM in the replicated configuration."""
+
+import asyncio
+import random
+from typing import final
+
+import msgspec
+from baobabwharf_core.changes import ChangeCode, ChangeRequest, RegisterVm
+from baobabwharf_core.ids import Incarnation, RegionId, RequestId, VmId, ZoneId
+from baobabwharf_core.model import VmRecord
+
+from baobabwharf_daemon.interfaces import ChangeClient, ConfigSource
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.task import Task
+
+_log = get_logger('registration')
+
+# A VM that starts in a partitioned region asks again until the change is
+# accepted; the bound keeps a fleet that starts at once from flooding the leader.
+_RETRY_FLOOR_S = 0.2
+_RETRY_CEILING_S = 5.0
+
+
+def own_record(settings: Settings, incarnation: Incarnation) -> VmRecord:
+    """Return the record of this VM."""
+    return VmRecord(
+        vm_id=VmId(settings.vm_id),
+        region=RegionId(settings.region),
+        zone=ZoneId(settings.zone),
+        has_disk=settings.data_folder is not None,
+        peer_address=settings.peer_address,
+        forward_address=settings.forward_address,
+        caller_url=settings.caller_url,
+        incarnation=incarnation,
+    )
+
+
+@final
+class Registration(Task):
+    """Propose the record of this VM until the configuration holds it."""
+
+    def __init__(
+        self,
+        record: VmRecord,
+        config: ConfigSource,
+        changes: ChangeClient,
+        random_source: random.Random,
+    ) -> None:
+        self._record = record
+        self._config = config
+        self._changes = changes
+        self._random = random_source
+        self._running: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to register."""
+        self._running = asyncio.create_task(self._register())
+
+    async def stop(self) -> None:
+        """Stop trying to register."""
+        if self._running is not None:
+            self._running.cancel()
+
+    async def _register(self) -> None:
+        attempt = 0
+        while not self._is_recorded():
+            # A new id each time: an earlier try may have failed for good.
+            attempt += 1
+            request_id = RequestId(
+                f'register-{self._record.vm_id}-'
+                f'{self._record.incarnation}-{attempt}'
+            )
+            outcome = await self._changes.propose(
+                ChangeRequest(request_id, RegisterVm(self._record))
+            )
+            if outcome.code is ChangeCode.ACCEPTED:
+                _log.info('VM is registered at revision %s.', outcome.revision)
+                return
+            await asyncio.sleep(self._backoff_s(attempt))
+
+    def _backoff_s(self, attempt: int) -> float:
+        ceiling = min(_RETRY_CEILING_S, _RETRY_FLOOR_S * 2**attempt)
+        return self._random.uniform(_RETRY_FLOOR_S, ceiling)
+
+    def _is_recorded(self) -> bool:
+        """Compare without the incarnation, which gossip carries."""
+        known = self._config.config.vms.get(self._record.vm_id)
+        if known is None:
+            return False
+        same_start = msgspec.structs.replace(
+            known, incarnation=self._record.incarnation
+        )
+        return same_start == self._record
