--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Raft without I/O: messages and time in; messages, records, entries out."""
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/raft_log.py
@@ -0,0 +1,115 @@
+"""Hold the log that follows the newest snapshot."""
+
+from collections.abc import Iterable
+from typing import final
+
+from baobabwharf_core.ids import LogIndex, Term
+from baobabwharf_core.invariants import check_invariant
+
+from baobabwharf_decisions.consensus.messages import (
+    Entry,
+    Membership,
+    Snapshot,
+)
+
+
+@final
+class RaftLog:
+    """Hold entries in memory; indices grow by one."""
+
+    def __init__(self, snapshot: Snapshot, entries: Iterable[Entry]) -> None:
+        self._snapshot = snapshot
+        self._entries: list[Entry] = []
+        self._memberships = [(snapshot.last_index, snapshot.membership)]
+        self.append(entries)
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the newest snapshot."""
+        return self._snapshot
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Return the index of the last entry."""
+        return LogIndex(self._snapshot.last_index + len(self._entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Return the term of the last entry."""
+        if self._entries:
+            return self._entries[-1].term
+        return self._snapshot.last_term
+
+    @property
+    def membership(self) -> Membership:
+        """Return the newest membership in the log, committed or not."""
+        return self._memberships[-1][1]
+
+    @property
+    def membership_index(self) -> LogIndex:
+        """Return the index of the newest membership."""
+        return self._memberships[-1][0]
+
+    def membership_at(self, index: LogIndex) -> Membership:
+        """Return the membership in force at an index."""
+        found = self._snapshot.membership
+        for position, membership in self._memberships:
+            if position <= index:
+                found = membership
+        return found
+
+    def term_at(self, index: LogIndex) -> Term | None:
+        """Return the term of an entry, None when it is not held."""
+        if index == self._snapshot.last_index:
+            return self._snapshot.last_term
+        offset = index - self._snapshot.last_index - 1
+        if 0 <= offset < len(self._entries):
+            return self._entries[offset].term
+        return None
+
+    def slice(self, first: LogIndex, limit: int | None = None) -> list[Entry]:
+        """Return entries from an index on, at most limit of them."""
+        offset = first - self._snapshot.last_index - 1
+        check_invariant(offset >= 0, 'A compacted entry was asked for.')
+        end = None if limit is None else offset + limit
+        return self._entries[offset:end]
+
+    def append(self, entries: Iterable[Entry]) -> None:
+        """Add entries at the end."""
+        for entry in entries:
+            check_invariant(
+                entry.index == self.last_index + 1, 'The log has a gap.'
+            )
+            check_invariant(
+                entry.term >= self.last_term, 'A term in the log decreases.'
+            )
+            self._entries.append(entry)
+            if entry.membership is not None:
+                self._memberships.append((entry.index, entry.membership))
+
+    def truncate(self, first: LogIndex) -> None:
+        """Drop the entries from an index on."""
+        offset = first - self._snapshot.last_index - 1
+        check_invariant(offset >= 0, 'A compacted entry was truncated.')
+        self._entries = self._entries[:offset]
+        self._memberships = [
+            pair for pair in self._memberships if pair[0] < first
+        ]
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Replace the log up to the snapshot; keep what matches after it."""
+        kept: list[Entry] = []
+        if self.term_at(snapshot.last_index) == snapshot.last_term:
+            kept = self.slice(LogIndex(snapshot.last_index + 1))
+        self._snapshot = snapshot
+        self._entries = []
+        self._memberships = [(snapshot.last_index, snapshot.membership)]
+        self.append(kept)
+
+    def first_of_term(self, index: LogIndex) -> LogIndex:
+        """Return the first held index with the term of the entry at index."""
+        term = self.term_at(index)
+        first = index
+        while self.term_at(LogIndex(first - 1)) == term:
+            first = LogIndex(first - 1)
+        return first
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/replica.py
@@ -0,0 +1,254 @@
+"""Hold the state of one replica and what it has yet to put out."""
+
+import random
+from dataclasses import dataclass, field
+
+from baobabwharf_core.ids import LogIndex, Term, VmId
+from baobabwharf_core.invariants import check_invariant
+from baobabwharf_core.statechart import load_chart
+
+from baobabwharf_decisions.consensus.messages import (
+    Append,
+    Entry,
+    HardState,
+    Message,
+    Options,
+    Persist,
+    ReadReady,
+    Send,
+    Snapshot,
+)
+from baobabwharf_decisions.consensus.raft_log import RaftLog
+
+NO_INDEX = LogIndex(0)
+CHART = load_chart('replica_role')
+LEARNER = CHART.initial
+FOLLOWER = CHART.step(LEARNER, 'promoted')
+PRE_CANDIDATE = CHART.step(FOLLOWER, 'election_timeout')
+CANDIDATE = CHART.step(PRE_CANDIDATE, 'pre_vote_won')
+LEADER = CHART.step(CANDIDATE, 'vote_won')
+REMOVED = CHART.step(LEADER, 'removed')
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold what the leader knows of one member."""
+
+    session: int
+    next_index: LogIndex
+    match_index: LogIndex = NO_INDEX
+    inflight: int = 0
+    probing: bool = True
+    sent_ms: int = 0
+    heard_ms: int = 0
+    read_round: int = 0
+    snapshot_offset: int = 0
+
+
+@dataclass(slots=True)
+class PendingRead:
+    """Hold a read until a majority confirms the leader."""
+
+    read_id: int
+    index: LogIndex
+    read_round: int
+
+
+@dataclass(slots=True)
+class Replica:
+    """Hold the state of one replica; now_ms is the time of the last input."""
+
+    vm_id: VmId
+    options: Options
+    random: random.Random
+    log: RaftLog
+    hard_state: HardState
+    commit: LogIndex
+    delivered: LogIndex
+    role: str = LEARNER
+    leader_id: VmId | None = None
+    now_ms: int = 0
+    election_deadline_ms: int = 0
+    leader_heard_ms: int | None = None
+    votes: set[VmId] = field(default_factory=set)
+    # Leader only.
+    progress: dict[VmId, Progress] = field(default_factory=dict)
+    sessions: int = 0
+    heartbeat_sent_ms: int = 0
+    led_since_ms: int = 0
+    announced_commit: LogIndex = NO_INDEX
+    read_round: int = 0
+    reads: list[PendingRead] = field(default_factory=list)
+    transfer_target: VmId | None = None
+    transfer_deadline_ms: int = 0
+    # Receiver of a snapshot.
+    chunks: bytearray = field(default_factory=bytearray)
+    chunks_index: LogIndex = NO_INDEX
+    # Output that waits for the owner or for a sync.
+    sequence: int = 0
+    synced: int = 0
+    dirty: bool = False
+    dirty_from: LogIndex | None = None
+    new_snapshot: Snapshot | None = None
+    restore: Snapshot | None = None
+    sync_marks: list[tuple[int, LogIndex]] = field(default_factory=list)
+    durable_index: LogIndex = NO_INDEX
+    held: list[tuple[int, Send]] = field(default_factory=list)
+    outbox: list[Send] = field(default_factory=list)
+    ready_reads: list[ReadReady] = field(default_factory=list)
+
+    @property
+    def term(self) -> Term:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads."""
+        return self.role == LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this replica votes in the newest membership."""
+        return self.vm_id in self.log.membership.voters
+
+
+def step_role(replica: Replica, event: str) -> None:
+    """Change the role as the chart says."""
+    replica.role = CHART.step(replica.role, event)
+
+
+def mark_dirty(replica: Replica, first: LogIndex | None = None) -> None:
+    """Note that hard state, or entries from an index on, must be synced."""
+    if not replica.dirty:
+        replica.dirty = True
+        replica.sequence += 1
+    if first is None:
+        return
+    known = replica.dirty_from
+    replica.dirty_from = first if known is None else min(known, first)
+
+
+def set_hard_state(replica: Replica, term: Term, vote: VmId | None) -> None:
+    """Enter a term or record a vote."""
+    old = replica.hard_state
+    check_invariant(term >= old.term, 'The term decreases.')
+    check_invariant(
+        term > old.term or old.voted_for in {None, vote},
+        'A second vote in one term.',
+    )
+    if (old.term, old.voted_for) != (term, vote):
+        replica.hard_state = HardState(term, vote)
+        mark_dirty(replica)
+
+
+def append_to_log(replica: Replica, entries: list[Entry]) -> None:
+    """Append entries, replacing conflicting ones, to be synced."""
+    if not entries:
+        return
+    first = entries[0].index
+    if first <= replica.log.last_index:
+        check_invariant(first > replica.commit, 'A committed entry changes.')
+        _forget_from(replica, first)
+        replica.log.truncate(first)
+    replica.log.append(entries)
+    mark_dirty(replica, first)
+
+
+def _forget_from(replica: Replica, first: LogIndex) -> None:
+    last = LogIndex(first - 1)
+    replica.durable_index = min(replica.durable_index, last)
+    replica.sync_marks = [
+        (sequence, min(index, last)) for sequence, index in replica.sync_marks
+    ]
+
+
+def send(replica: Replica, receiver: VmId, message: Message) -> None:
+    """Send a message once everything that it relies on is synced."""
+    item = Send(receiver, message)
+    early = replica.options.parallel_append and isinstance(message, Append)
+    if early or replica.synced >= replica.sequence:
+        replica.outbox.append(item)
+    else:
+        replica.held.append((replica.sequence, item))
+
+
+def send_now(replica: Replica, receiver: VmId, message: Message) -> None:
+    """Send a message that relies on no unsynced state."""
+    replica.outbox.append(Send(receiver, message))
+
+
+def take_persist(replica: Replica) -> Persist | None:
+    """Return the records to sync next."""
+    if not replica.dirty:
+        return None
+    entries: list[Entry] = []
+    if replica.dirty_from is not None:
+        first = max(
+            replica.dirty_from, LogIndex(replica.log.snapshot.last_index + 1)
+        )
+        entries = replica.log.slice(first)
+    request = Persist(
+        replica.sequence,
+        replica.hard_state,
+        tuple(entries),
+        replica.new_snapshot,
+    )
+    replica.sync_marks.append((replica.sequence, replica.log.last_index))
+    replica.dirty = False
+    replica.dirty_from = None
+    replica.new_snapshot = None
+    return request
+
+
+def confirm_sync(replica: Replica, sequence: int) -> None:
+    """Note that all records up to a sequence number are durable."""
+    check_invariant(sequence <= replica.sequence, 'An unknown sync.')
+    replica.synced = max(replica.synced, sequence)
+    waiting = []
+    for mark in replica.sync_marks:
+        if mark[0] > sequence:
+            waiting.append(mark)
+        else:
+            replica.durable_index = max(replica.durable_index, mark[1])
+    replica.sync_marks = waiting
+    due = [pair[1] for pair in replica.held if pair[0] <= sequence]
+    replica.held = [pair for pair in replica.held if pair[0] > sequence]
+    # What was sent in an earlier term no longer counts for anybody.
+    replica.outbox.extend(
+        item for item in due if item.message.term >= replica.term
+    )
+
+
+def advance_commit(replica: Replica, index: LogIndex) -> None:
+    """Move the commit index forward and notice an own removal."""
+    if index <= replica.commit:
+        return
+    check_invariant(
+        index <= replica.log.last_index, 'A missing entry is committed.'
+    )
+    before = replica.log.membership_at(replica.commit)
+    replica.commit = index
+    after = replica.log.membership_at(index)
+    gone = replica.vm_id in before.members
+    if gone and replica.vm_id not in after.members:
+        step_role(replica, 'removed')
+
+
+def reset_election_deadline(replica: Replica) -> None:
+    """Choose the next election timeout between one and two times the base."""
+    base = replica.options.election_ms
+    replica.election_deadline_ms = (
+        replica.now_ms + base + replica.random.randrange(base)
+    )
+
+
+def follow_membership(replica: Replica) -> None:
+    """Match the role of a member that does not lead to the membership."""
+    if replica.role == LEARNER and replica.is_voter:
+        step_role(replica, 'promoted')
+        reset_election_deadline(replica)
+        return
+    learners = replica.log.membership.learners
+    if replica.role == FOLLOWER and replica.vm_id in learners:
+        step_role(replica, 'demoted')
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/snapshots.py
@@ -0,0 +1,124 @@
+"""Send and receive snapshots in parts."""
+
+import msgspec
+from baobabwharf_core.ids import LogIndex, VmId
+from baobabwharf_core.invariants import check_invariant
+
+from baobabwharf_decisions.consensus.messages import (
+    Snapshot,
+    SnapshotAnswer,
+    SnapshotChunk,
+)
+from baobabwharf_decisions.consensus.replica import (
+    Progress,
+    Replica,
+    mark_dirty,
+    send,
+    send_now,
+)
+
+
+def send_chunk_when_idle(
+    replica: Replica, member: VmId, progress: Progress
+) -> None:
+    """Send the next part unless one is in flight."""
+    if progress.inflight:
+        return
+    snapshot = replica.log.snapshot
+    end = progress.snapshot_offset + replica.options.chunk_bytes
+    part = snapshot.payload[progress.snapshot_offset : end]
+    chunk = SnapshotChunk(
+        replica.vm_id,
+        replica.term,
+        msgspec.structs.replace(snapshot, payload=part),
+        progress.snapshot_offset,
+        len(snapshot.payload),
+        progress.session,
+    )
+    progress.inflight = 1
+    progress.sent_ms = replica.now_ms
+    send(replica, member, chunk)
+
+
+def on_snapshot_answer(replica: Replica, answer: SnapshotAnswer) -> bool:
+    """Advance the transfer; return true when the snapshot is installed."""
+    progress = replica.progress.get(answer.sender)
+    if progress is None or progress.session != answer.session:
+        return False
+    progress.heard_ms = replica.now_ms
+    if progress.next_index > replica.log.snapshot.last_index:
+        return False
+    progress.inflight = 0
+    if answer.installed:
+        _note_installed(progress, answer.last_index)
+        return True
+    same = answer.last_index == replica.log.snapshot.last_index
+    progress.snapshot_offset = answer.next_offset if same else 0
+    send_chunk_when_idle(replica, answer.sender, progress)
+    return False
+
+
+def on_snapshot_chunk(replica: Replica, chunk: SnapshotChunk) -> None:
+    """Collect parts in order and install the whole snapshot."""
+    snapshot = chunk.snapshot
+    if snapshot.last_index <= replica.commit:
+        _answer(replica, chunk, chunk.total_bytes, installed=True)
+        return
+    if snapshot.last_index != replica.chunks_index:
+        replica.chunks_index = snapshot.last_index
+        replica.chunks = bytearray()
+    if chunk.offset == len(replica.chunks):
+        replica.chunks.extend(snapshot.payload)
+    if len(replica.chunks) < chunk.total_bytes:
+        _answer(replica, chunk, len(replica.chunks), installed=False)
+        return
+    payload = bytes(replica.chunks)
+    replica.chunks = bytearray()
+    replica.chunks_index = LogIndex(0)
+    install(replica, msgspec.structs.replace(snapshot, payload=payload))
+    _answer(replica, chunk, chunk.total_bytes, installed=True)
+
+
+def install(replica: Replica, snapshot: Snapshot) -> None:
+    """Replace the state of this replica by a received snapshot."""
+    replica.durable_index = LogIndex(0)
+    replica.sync_marks = []
+    adopt(replica, snapshot)
+    replica.commit = snapshot.last_index
+    replica.delivered = snapshot.last_index
+    replica.restore = snapshot
+
+
+def adopt(replica: Replica, snapshot: Snapshot) -> None:
+    """Compact the log up to a snapshot, to be synced."""
+    check_invariant(
+        snapshot.last_index > replica.log.snapshot.last_index,
+        'A snapshot is older than the one in place.',
+    )
+    replica.log.adopt(snapshot)
+    replica.new_snapshot = snapshot
+    mark_dirty(replica, LogIndex(snapshot.last_index + 1))
+
+
+def _note_installed(progress: Progress, index: LogIndex) -> None:
+    progress.match_index = max(progress.match_index, index)
+    progress.next_index = max(progress.next_index, LogIndex(index + 1))
+    progress.snapshot_offset = 0
+    progress.probing = True
+
+
+def _answer(
+    replica: Replica, chunk: SnapshotChunk, offset: int, *, installed: bool
+) -> None:
+    answer = SnapshotAnswer(
+        replica.vm_id,
+        replica.term,
+        chunk.snapshot.last_index,
+        offset,
+        installed,
+        chunk.session,
+    )
+    if installed:
+        send(replica, chunk.sender, answer)
+    else:
+        send_now(replica, chunk.sender, answer)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine: configuration, request ids, leases, claims."""
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/claims.py
@@ -0,0 +1,143 @@
+"""Keep claims of idempotency keys for 24 h."""
+
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import CustomerId, RequestId, VmId
+from baobabwharf_core.invariants import check_invariant
+from baobabwharf_core.statechart import load_chart
+
+from baobabwharf_decisions.fleet_state.commands import (
+    BeginClaim,
+    ClaimAnswer,
+    FinishClaim,
+    LoseOwner,
+)
+
+RETENTION_MS = 24 * 3600 * 1000
+_CHART = load_chart('booking_claim')
+ABSENT = _CHART.initial
+RUNNING = _CHART.step(ABSENT, 'begin')
+FINISHED = _CHART.step(RUNNING, 'finish')
+UNKNOWN = _CHART.step(RUNNING, 'owner_lost')
+_EVENT_OF = {FINISHED: 'finish', ABSENT: 'not_run', UNKNOWN: 'owner_lost'}
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Hold one claim; begun_ms is the leader's wall time."""
+
+    customer_id: CustomerId
+    idempotency_key: str
+    body_digest: bytes
+    request_id: RequestId
+    owner: VmId
+    begun_ms: int
+    state: str
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+@final
+class ClaimTable:
+    """Hold claims in the order in which they began."""
+
+    def __init__(self, claims: tuple[Claim, ...] = ()) -> None:
+        self._claims = {
+            (claim.customer_id, claim.idempotency_key): claim
+            for claim in claims
+        }
+
+    @property
+    def claims(self) -> tuple[Claim, ...]:
+        """Return all claims."""
+        return tuple(self._claims.values())
+
+    def running_owners(self) -> frozenset[VmId]:
+        """Return the VMs that have running claims."""
+        return frozenset(
+            claim.owner
+            for claim in self._claims.values()
+            if claim.state == RUNNING
+        )
+
+    def begin(self, command: BeginClaim, now_ms: int) -> ClaimAnswer:
+        """Record a claim, or tell what is known of the key."""
+        known = self._claims.get((command.customer_id, command.idempotency_key))
+        if known is None:
+            known = self._record(command, now_ms)
+        if known.body_digest != command.body_digest:
+            return ClaimAnswer(known.state, known.owner, mismatch=True)
+        # The resend of the begin that recorded the claim gets its answer.
+        own = known.request_id == command.request_id
+        granted = own and known.state == RUNNING
+        return _describe(known, granted=granted)
+
+    def finish(self, command: FinishClaim) -> ClaimAnswer:
+        """Record how a call ended, once."""
+        name = (command.customer_id, command.idempotency_key)
+        known = self._claims.get(name)
+        event = _EVENT_OF.get(command.state)
+        if known is None or known.request_id != command.request_id:
+            return ClaimAnswer(ABSENT, VmId(''), done=False)
+        if event is None or not _CHART.accepts(known.state, event):
+            repeated = known.state == command.state
+            return msgspec.structs.replace(_describe(known), done=repeated)
+        ended = msgspec.structs.replace(
+            known,
+            state=_CHART.step(known.state, event),
+            status=command.status,
+            content_type=command.content_type,
+            body=command.body,
+        )
+        if ended.state == ABSENT:
+            self._claims.pop(name)
+        else:
+            self._claims[name] = ended
+        return msgspec.structs.replace(_describe(ended), done=True)
+
+    def lose_owner(self, command: LoseOwner) -> None:
+        """Mark the running claims of a VM as unknown."""
+        for name, claim in self._claims.items():
+            if claim.owner == command.owner and claim.state == RUNNING:
+                lost = _CHART.step(claim.state, 'owner_lost')
+                self._claims[name] = msgspec.structs.replace(claim, state=lost)
+
+    def expire(self, now_ms: int) -> None:
+        """Drop claims that began more than the retention time ago."""
+        expired = []
+        for name, claim in self._claims.items():
+            if now_ms - claim.begun_ms < RETENTION_MS:
+                break
+            check_invariant(
+                _CHART.is_final(_CHART.step(claim.state, 'expire')),
+                'An expired claim is not final.',
+            )
+            expired.append(name)
+        for name in expired:
+            self._claims.pop(name)
+
+    def _record(self, command: BeginClaim, now_ms: int) -> Claim:
+        claim = Claim(
+            command.customer_id,
+            command.idempotency_key,
+            command.body_digest,
+            command.request_id,
+            command.owner,
+            now_ms,
+            _CHART.step(ABSENT, 'begin'),
+        )
+        name = (command.customer_id, command.idempotency_key)
+        self._claims[name] = claim
+        return claim
+
+
+def _describe(claim: Claim, *, granted: bool = False) -> ClaimAnswer:
+    return ClaimAnswer(
+        claim.state,
+        claim.owner,
+        granted=granted,
+        status=claim.status,
+        content_type=claim.content_type,
+        body=claim.body,
+    )
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/commands.py
@@ -0,0 +1,120 @@
+"""Describe the commands in the log and their answers."""
+
+import msgspec
+from baobabwharf_core.changes import ChangeOutcome, ChangeRequest
+from baobabwharf_core.ids import (
+    CustomerId,
+    FencingToken,
+    RequestId,
+    VmId,
+)
+
+
+class _Operation(msgspec.Struct, frozen=True, tag=True):
+    """Tag each kind of operation with its name."""
+
+
+class ApplyChange(_Operation, frozen=True, tag=True):
+    """Change the configuration."""
+
+    request: ChangeRequest
+
+
+class TakeLease(_Operation, frozen=True, tag=True):
+    """Take or renew a lease for a duration in ms."""
+
+    name: str
+    holder: VmId
+    duration_ms: int
+
+
+class ReleaseLease(_Operation, frozen=True, tag=True):
+    """Give a lease back."""
+
+    name: str
+    holder: VmId
+    token: FencingToken
+
+
+class BeginClaim(_Operation, frozen=True, tag=True):
+    """Claim an idempotency key before the call is sent."""
+
+    customer_id: CustomerId
+    idempotency_key: str
+    body_digest: bytes
+    request_id: RequestId
+    owner: VmId
+
+
+class FinishClaim(_Operation, frozen=True, tag=True):
+    """Record how the call ended; state is one of chart booking_claim."""
+
+    customer_id: CustomerId
+    idempotency_key: str
+    request_id: RequestId
+    state: str
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+class LoseOwner(_Operation, frozen=True, tag=True):
+    """Mark the running claims of a VM that died as unknown."""
+
+    owner: VmId
+
+
+Operation = (
+    ApplyChange
+    | TakeLease
+    | ReleaseLease
+    | BeginClaim
+    | FinishClaim
+    | LoseOwner
+)
+
+
+class Command(msgspec.Struct, frozen=True):
+    """Pair an operation with the leader's wall time in ms."""
+
+    at_ms: int
+    operation: Operation
+
+
+class _Answer(msgspec.Struct, frozen=True, tag=True):
+    """Tag each kind of answer with its name."""
+
+
+class ChangeAnswer(_Answer, frozen=True, tag=True):
+    """Answer a change."""
+
+    outcome: ChangeOutcome
+
+
+class LeaseAnswer(_Answer, frozen=True, tag=True):
+    """Answer a lease operation; retry_after_ms tells when to ask again."""
+
+    granted: bool
+    holder: VmId
+    token: FencingToken
+    retry_after_ms: int = 0
+
+
+class ClaimAnswer(_Answer, frozen=True, tag=True):
+    """Answer a claim operation; done tells that a finish was recorded."""
+
+    state: str
+    owner: VmId
+    granted: bool = False
+    mismatch: bool = False
+    done: bool = False
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+
+
+class Done(_Answer, frozen=True, tag=True):
+    """Answer an operation that has nothing to tell."""
+
+
+Answer = ChangeAnswer | LeaseAnswer | ClaimAnswer | Done
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/configuration.py
@@ -0,0 +1,102 @@
+"""Apply one change to a configuration.
+
+Every VM applies the same changes to its copy, so this must stay a pure
+function of the configuration and the change.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from baobabwharf_core import changes
+from baobabwharf_core.ids import Revision
+from baobabwharf_core.model import FleetConfig, route_key
+from expression import Ok
+
+from baobabwharf_decisions.fleet_state import customers, keys
+from baobabwharf_decisions.fleet_state.applied import (
+    Applied,
+    invalid,
+    missing,
+    present,
+    replace_tables,
+)
+
+
+def apply_change(config: FleetConfig, change: changes.Change) -> Applied:
+    """Return the configuration at the next revision, or a fault."""
+    applied = _APPLY[type(change)](config, change)
+    if applied.is_error():
+        return applied
+    revision = Revision(config.revision + 1)
+    return Ok(msgspec.structs.replace(applied.ok, revision=revision))
+
+
+def _set_target(config: FleetConfig, change: changes.SetTarget) -> Applied:
+    target = change.target
+    if min(target.first_token_ms, target.complete_ms) <= 0:
+        return invalid('The times of a target must be positive.')
+    if not 0 <= target.max_away_share <= 1:
+        return invalid('max_away_share must be between 0 and 1.')
+    targets = {**config.targets, target.work_class: target}
+    return replace_tables(config, targets=targets)
+
+
+def _set_route(config: FleetConfig, change: changes.SetRoute) -> Applied:
+    rule = change.rule
+    if not rule.path_prefix.startswith('/'):
+        return invalid('A path prefix must begin with a slash.')
+    name = route_key(rule.service, rule.path_prefix)
+    return replace_tables(config, routes={**config.routes, name: rule})
+
+
+def _register_vm(config: FleetConfig, change: changes.RegisterVm) -> Applied:
+    vm = change.vm
+    known = config.vms.get(vm.vm_id)
+    if known == vm:
+        return present('VM', vm.vm_id)
+    if known is not None and vm.incarnation < known.incarnation:
+        return invalid('A newer incarnation of the VM is registered.')
+    return replace_tables(config, vms={**config.vms, vm.vm_id: vm})
+
+
+def _remove_vm(config: FleetConfig, change: changes.RemoveVm) -> Applied:
+    if change.vm_id not in config.vms:
+        return missing('VM', change.vm_id)
+    vms = dict(config.vms)
+    vms.pop(change.vm_id)
+    return replace_tables(config, vms=vms)
+
+
+def _apply_config(config: FleetConfig, change: changes.ApplyConfig) -> Applied:
+    wanted = change.config
+    checked: Applied = Ok(config)
+    for customer in wanted.customers.values():
+        checked = customers.put_customer(config, customer)
+        if checked.is_error():
+            return checked
+    gone = frozenset(config.customers) - frozenset(wanted.customers)
+    return replace_tables(
+        config,
+        customers=dict(wanted.customers),
+        targets=dict(wanted.targets),
+        routes=dict(wanted.routes),
+        keys=customers.withdraw_keys_of(config, gone),
+    )
+
+
+_APPLY: dict[type, Callable[[FleetConfig, Any], Applied]] = {
+    changes.CreateCustomer: customers.create_customer,
+    changes.SetCap: customers.set_cap,
+    changes.SetResidency: customers.set_residency,
+    changes.RemoveCustomer: customers.remove_customer,
+    changes.CreateKey: keys.create_key,
+    changes.WithdrawKey: keys.withdraw_key,
+    changes.CreateEndpointKey: keys.create_endpoint_key,
+    changes.WithdrawEndpointKey: keys.withdraw_endpoint_key,
+    changes.SetTarget: _set_target,
+    changes.SetRoute: _set_route,
+    changes.RegisterVm: _register_vm,
+    changes.RemoveVm: _remove_vm,
+    changes.ApplyConfig: _apply_config,
+}
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/customers.py
@@ -0,0 +1,84 @@
+"""Change customers."""
+
+from typing import Any
+
+import msgspec
+from baobabwharf_core import changes
+from baobabwharf_core.ids import CustomerId
+from baobabwharf_core.model import Customer, FleetConfig, KeyRecord
+
+from baobabwharf_decisions.fleet_state.applied import (
+    Applied,
+    invalid,
+    missing,
+    present,
+    replace_tables,
+)
+
+
+def put_customer(config: FleetConfig, customer: Customer) -> Applied:
+    """Store a customer whose cap is valid."""
+    if min(customer.rate_tokens_per_s, customer.burst_tokens) <= 0:
+        return invalid('Rate and burst must be positive.')
+    table = {**config.customers, customer.customer_id: customer}
+    return replace_tables(config, customers=table)
+
+
+def create_customer(
+    config: FleetConfig, change: changes.CreateCustomer
+) -> Applied:
+    """Add a customer."""
+    customer_id = change.customer.customer_id
+    if not customer_id:
+        return invalid('The customer id is empty.')
+    if customer_id in config.customers:
+        return present('customer', customer_id)
+    return put_customer(config, change.customer)
+
+
+def set_cap(config: FleetConfig, change: changes.SetCap) -> Applied:
+    """Set the cap of a customer."""
+    customer = config.customers.get(change.customer_id)
+    if customer is None:
+        return missing('customer', change.customer_id)
+    updated = msgspec.structs.replace(
+        customer,
+        rate_tokens_per_s=change.rate_tokens_per_s,
+        burst_tokens=change.burst_tokens,
+    )
+    return put_customer(config, updated)
+
+
+def set_residency(config: FleetConfig, change: changes.SetResidency) -> Applied:
+    """Set the residency of a customer."""
+    customer = config.customers.get(change.customer_id)
+    if customer is None:
+        return missing('customer', change.customer_id)
+    updated = msgspec.structs.replace(customer, residency=change.residency)
+    return put_customer(config, updated)
+
+
+def remove_customer(
+    config: FleetConfig, change: changes.RemoveCustomer
+) -> Applied:
+    """Remove a customer and withdraw its keys."""
+    if change.customer_id not in config.customers:
+        return missing('customer', change.customer_id)
+    customers = dict(config.customers)
+    customers.pop(change.customer_id)
+    keys = withdraw_keys_of(config, frozenset((change.customer_id,)))
+    return replace_tables(config, customers=customers, keys=keys)
+
+
+def withdraw_keys_of(
+    config: FleetConfig, gone: frozenset[CustomerId]
+) -> dict[Any, KeyRecord]:
+    """Return the keys with those of some customers withdrawn."""
+    return {
+        key_id: (
+            msgspec.structs.replace(key, withdrawn=True)
+            if key.customer_id in gone
+            else key
+        )
+        for key_id, key in config.keys.items()
+    }
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/keys.py
@@ -0,0 +1,70 @@
+"""Change keys."""
+
+from typing import Any
+
+import msgspec
+from baobabwharf_core import changes
+from baobabwharf_core.model import EndpointKeyRecord, FleetConfig, KeyRecord
+
+from baobabwharf_decisions.fleet_state.applied import (
+    Applied,
+    invalid,
+    missing,
+    present,
+    replace_tables,
+)
+
+
+def create_key(config: FleetConfig, change: changes.CreateKey) -> Applied:
+    """Add a key of a customer."""
+    key = change.key
+    if key.customer_id not in config.customers:
+        return missing('customer', key.customer_id)
+    fault = _check_new_key(config.keys, key)
+    if fault is not None:
+        return fault
+    return replace_tables(config, keys={**config.keys, key.key_id: key})
+
+
+def _check_new_key(
+    table: dict[Any, Any], key: KeyRecord | EndpointKeyRecord
+) -> Applied | None:
+    if key.key_id in table:
+        return present('key', key.key_id)
+    if not key.digest or key.withdrawn:
+        return invalid('A new key needs a digest and is not withdrawn.')
+    if any(known.digest == key.digest for known in table.values()):
+        return invalid('The digest belongs to another key.')
+    return None
+
+
+def withdraw_key(config: FleetConfig, change: changes.WithdrawKey) -> Applied:
+    """Withdraw a key."""
+    key = config.keys.get(change.key_id)
+    if key is None:
+        return missing('key', change.key_id)
+    gone = msgspec.structs.replace(key, withdrawn=True)
+    return replace_tables(config, keys={**config.keys, change.key_id: gone})
+
+
+def create_endpoint_key(
+    config: FleetConfig, change: changes.CreateEndpointKey
+) -> Applied:
+    """Add an endpoint key."""
+    fault = _check_new_key(config.endpoint_keys, change.key)
+    if fault is not None:
+        return fault
+    table = {**config.endpoint_keys, change.key.key_id: change.key}
+    return replace_tables(config, endpoint_keys=table)
+
+
+def withdraw_endpoint_key(
+    config: FleetConfig, change: changes.WithdrawEndpointKey
+) -> Applied:
+    """Withdraw an endpoint key."""
+    key = config.endpoint_keys.get(change.key_id)
+    if key is None:
+        return missing('endpoint key', change.key_id)
+    gone = msgspec.structs.replace(key, withdrawn=True)
+    table = {**config.endpoint_keys, change.key_id: gone}
+    return replace_tables(config, endpoint_keys=table)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/machine.py
@@ -0,0 +1,225 @@
+"""Apply commands to the replicated state."""
+
+import hashlib
+from collections.abc import Callable
+from typing import Any, final
+
+import msgspec
+from baobabwharf_core.changes import (
+    Change,
+    ChangeCode,
+    ChangeOutcome,
+    ChangeRequest,
+    RegisterVm,
+    RemoveVm,
+)
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.ids import RequestId, Revision, VmId
+from baobabwharf_core.invariants import check_invariant
+from baobabwharf_core.model import FleetConfig
+from expression import Error
+
+from baobabwharf_decisions.fleet_state.applied import Applied, ChangeFault
+from baobabwharf_decisions.fleet_state.claims import Claim, ClaimTable
+from baobabwharf_decisions.fleet_state.commands import (
+    Answer,
+    ApplyChange,
+    BeginClaim,
+    ChangeAnswer,
+    Command,
+    Done,
+    FinishClaim,
+    LoseOwner,
+    ReleaseLease,
+    TakeLease,
+)
+from baobabwharf_decisions.fleet_state.configuration import apply_change
+from baobabwharf_decisions.fleet_state.lease_table import Lease, LeaseTable
+
+# First answers are kept for the last 20,000 request ids: more than six days
+# at 3,000 changes a day.  A resend after that is taken for a new request.
+KEPT_OUTCOMES = 20_000
+_DIGEST_BYTES = 16
+
+
+class _FirstAnswer(msgspec.Struct, frozen=True):
+    digest: bytes
+    outcome: ChangeOutcome
+
+
+class FleetSnapshot(msgspec.Struct, frozen=True):
+    """Hold the whole replicated state."""
+
+    config: FleetConfig
+    clock_ms: int
+    answers: dict[RequestId, _FirstAnswer]
+    removed_vms: tuple[VmId, ...]
+    leases: dict[str, Lease]
+    last_token: int
+    claims: tuple[Claim, ...]
+
+
+class AppliedChange(msgspec.Struct, frozen=True):
+    """Pair an accepted change with the revision that it made."""
+
+    revision: Revision
+    change: Change
+
+
+@final
+class FleetMachine:
+    """Hold the replicated state; equal commands make equal states."""
+
+    def __init__(self) -> None:
+        self._config = FleetConfig()
+        self._clock_ms = 0
+        self._answers: dict[RequestId, _FirstAnswer] = {}
+        self._removed_vms: dict[VmId, None] = {}
+        self._leases = LeaseTable({}, 0)
+        self._claims = ClaimTable()
+        self._last_change: AppliedChange | None = None
+        self._handlers: dict[type, Callable[[Any], Answer]] = {
+            ApplyChange: self._apply_change,
+            TakeLease: self._take_lease,
+            ReleaseLease: self._release_lease,
+            BeginClaim: self._begin_claim,
+            FinishClaim: self._finish_claim,
+            LoseOwner: self._lose_owner,
+        }
+
+    @property
+    def config(self) -> FleetConfig:
+        """Return the configuration."""
+        return self._config
+
+    @property
+    def claims(self) -> ClaimTable:
+        """Return the claims, for reading."""
+        return self._claims
+
+    @property
+    def last_change(self) -> AppliedChange | None:
+        """Return the change that the last command made, if it made one."""
+        return self._last_change
+
+    def first_answer(self, request_id: RequestId) -> ChangeOutcome | None:
+        """Return the first answer to a request id, if it is kept."""
+        known = self._answers.get(request_id)
+        return None if known is None else known.outcome
+
+    def apply(self, command: Command) -> Answer:
+        """Apply the next command of the log."""
+        # A new leader's clock may be behind; time of the state never is.
+        self._clock_ms = max(self._clock_ms, command.at_ms)
+        self._claims.expire(self._clock_ms)
+        self._last_change = None
+        return self._handlers[type(command.operation)](command.operation)
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        state = FleetSnapshot(
+            self._config,
+            self._clock_ms,
+            self._answers,
+            tuple(self._removed_vms),
+            self._leases.leases,
+            self._leases.last_token,
+            self._claims.claims,
+        )
+        return encode(state)
+
+    def restore(self, payload: bytes) -> None:
+        """Replace the whole state; an empty payload is the empty state."""
+        state = FleetSnapshot(FleetConfig(), 0, {}, (), {}, 0, ())
+        if payload:
+            state = decode(payload, FleetSnapshot)
+        self._config = state.config
+        self._clock_ms = state.clock_ms
+        self._answers = dict(state.answers)
+        self._removed_vms = dict.fromkeys(state.removed_vms)
+        self._leases = LeaseTable(state.leases, state.last_token)
+        self._claims = ClaimTable(state.claims)
+        self._last_change = None
+
+    def _apply_change(self, operation: ApplyChange) -> Answer:
+        request = operation.request
+        digest = _digest(request)
+        known = self._answers.get(request.request_id)
+        if known is None:
+            outcome = self._decide(request)
+            self._remember(digest, outcome)
+        elif known.digest == digest:
+            outcome = known.outcome
+        else:
+            outcome = self._outcome(
+                request,
+                ChangeCode.REQUEST_ID_REUSED,
+                'The request id belongs to another change.',
+            )
+        return ChangeAnswer(outcome)
+
+    def _decide(self, request: ChangeRequest) -> ChangeOutcome:
+        expected = request.expected_revision
+        if expected is not None and expected != self._config.revision:
+            return self._outcome(
+                request,
+                ChangeCode.REVISION_CONFLICT,
+                f'The revision is {self._config.revision}.',
+            )
+        applied = self._applied(request.change)
+        if applied.is_error():
+            fault = applied.error
+            return self._outcome(request, fault.code, fault.sentence)
+        check_invariant(
+            applied.ok.revision == self._config.revision + 1,
+            'Revisions have a gap.',
+        )
+        self._config = applied.ok
+        self._last_change = AppliedChange(self._config.revision, request.change)
+        return self._outcome(request, ChangeCode.ACCEPTED, '')
+
+    def _applied(self, change: Change) -> Applied:
+        known = change.vm.vm_id if isinstance(change, RegisterVm) else None
+        if known in self._removed_vms:
+            sentence = 'The VM was removed for good; use another id.'
+            return Error(ChangeFault(ChangeCode.INVALID, sentence))
+        applied = apply_change(self._config, change)
+        if isinstance(change, RemoveVm) and applied.is_ok():
+            self._removed_vms[change.vm_id] = None
+        return applied
+
+    def _outcome(
+        self, request: ChangeRequest, code: ChangeCode, sentence: str
+    ) -> ChangeOutcome:
+        return ChangeOutcome(
+            request.request_id, code, self._config.revision, sentence
+        )
+
+    def _remember(self, digest: bytes, outcome: ChangeOutcome) -> None:
+        self._answers[outcome.request_id] = _FirstAnswer(digest, outcome)
+        while len(self._answers) > KEPT_OUTCOMES:
+            self._answers.pop(next(iter(self._answers)))
+
+    def _take_lease(self, operation: TakeLease) -> Answer:
+        return self._leases.take(operation, self._clock_ms)
+
+    def _release_lease(self, operation: ReleaseLease) -> Answer:
+        self._leases.release(operation)
+        return Done()
+
+    def _begin_claim(self, operation: BeginClaim) -> Answer:
+        return self._claims.begin(operation, self._clock_ms)
+
+    def _finish_claim(self, operation: FinishClaim) -> Answer:
+        return self._claims.finish(operation)
+
+    def _lose_owner(self, operation: LoseOwner) -> Answer:
+        self._claims.lose_owner(operation)
+        return Done()
+
+
+def _digest(request: ChangeRequest) -> bytes:
+    return hashlib.blake2b(
+        encode((request.change, request.expected_revision)),
+        digest_size=_DIGEST_BYTES,
+    ).digest()
