Consensus: add the replica, follower, change and claim tasks

Cause: the daemon needs durable agreed state and its distribution. Change: files with one frame per sync, first formation in two stages, rebuild of a lost disk as learner, change and claim clients that only send to a VM that says it leads, and consensus_parts.build_consensus_parts to wire them in.

--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_parts.py
@@ -0,0 +1,115 @@
+"""Build the tasks of the replicated state of one VM."""
+
+import random
+from pathlib import Path
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import VmId
+from baobabwharf_decisions.consensus.messages import Options
+
+from baobabwharf_daemon.address_book import AddressBook, LiveVms
+from baobabwharf_daemon.consensus_task import ConsensusTask
+from baobabwharf_daemon.follower_task import FollowerTask
+from baobabwharf_daemon.formation import Formation
+from baobabwharf_daemon.leader_client import LeaderClient
+from baobabwharf_daemon.leader_duties import LeaderDuties
+from baobabwharf_daemon.replica_calls import ReplicaCalls
+from baobabwharf_daemon.replica_engine import ApplyListener, ReplicaEngine
+from baobabwharf_daemon.replica_files import ReplicaFiles
+from baobabwharf_daemon.replica_links import ReplicaLinks
+from baobabwharf_daemon.replica_writer import ReplicaWriter
+from baobabwharf_daemon.replicated_clients import (
+    ReplicatedChangeClient,
+    ReplicatedClaimClient,
+)
+from baobabwharf_daemon.rpc import RpcClient, RpcServer
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.task import Task
+
+_FOLDER = 'raft'
+
+
+class ConsensusParts(msgspec.Struct, frozen=True):
+    """Hold the tasks; consensus is None on a VM without data folder."""
+
+    follower: FollowerTask
+    changes: ReplicatedChangeClient
+    claims: ReplicatedClaimClient
+    leader: LeaderClient
+    consensus: ConsensusTask | None
+
+    @property
+    def tasks(self) -> tuple[Task, ...]:
+        """Return the tasks in the order to start; stop in reverse order."""
+        rest: tuple[Task, ...] = (self.follower, self.claims)
+        return rest if self.consensus is None else (self.consensus, *rest)
+
+
+class _Means(msgspec.Struct, frozen=True):
+    settings: Settings
+    clock: Clock
+    generator: random.Random
+    client: RpcClient
+    book: AddressBook
+    options: Options
+
+
+def build_consensus_parts(
+    settings: Settings,
+    clock: Clock,
+    generator: random.Random,
+    server: RpcServer,
+    client: RpcClient,
+    live_vms: LiveVms,
+    options: Options | None = None,
+) -> ConsensusParts:
+    """Build the tasks and register their calls at the server.
+
+    Call it inside the event loop and before the server starts.
+    """
+    book = AddressBook(settings, live_vms)
+    means = _Means(
+        settings, clock, generator, client, book, options or Options()
+    )
+    ages: list[ConsensusTask] = []
+    follower = FollowerTask(book, client, clock, lambda: _own_age(ages, clock))
+    follower.register(server)
+    consensus = None
+    if settings.data_folder is not None:
+        folder = settings.data_folder / _FOLDER
+        consensus = _build_consensus(means, folder, follower.accept_applied)
+        consensus.register(server)
+        ages.append(consensus)
+    leader = LeaderClient(book, client, clock, generator, consensus)
+    return ConsensusParts(
+        follower,
+        ReplicatedChangeClient(leader, follower),
+        ReplicatedClaimClient(leader, book.own.vm_id),
+        leader,
+        consensus,
+    )
+
+
+def _own_age(ages: list[ConsensusTask], clock: Clock) -> int | None:
+    return ages[0].age_ms(clock) if ages else None
+
+
+def _build_consensus(
+    means: _Means, folder: Path, listener: ApplyListener
+) -> ConsensusTask:
+    files = ReplicaFiles(folder)
+    writer = ReplicaWriter(files)
+    links = ReplicaLinks(means.client, means.book.address_of)
+    engine = ReplicaEngine(
+        means.clock, means.generator, writer, links, listener, means.options
+    )
+    calls = ReplicaCalls(engine, means.clock, files.room)
+    voters = tuple(VmId(name) for name in means.settings.initial_voters)
+    formation = Formation(
+        folder, voters, means.book, means.client, writer, means.generator
+    )
+    duties = LeaderDuties(engine, calls, means.book, means.clock)
+    return ConsensusTask(
+        engine, calls, formation, duties, writer, links, means.book
+    )
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/following.py
@@ -0,0 +1,138 @@
+"""Follow an upstream, and change it when it fails or a better one lives."""
+
+import abc
+import asyncio
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import VmId
+from baobabwharf_core.model import FleetConfig
+from baobabwharf_decisions.follow import Upstream, choose_upstream
+
+from baobabwharf_daemon.address_book import AddressBook
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.replica_messages import (
+    FETCH_PATH,
+    WATCH_PATH,
+    FetchReply,
+    WatchItem,
+    WatchReply,
+    WatchRequest,
+)
+from baobabwharf_daemon.rpc import RpcClient
+
+_IDLE_TIMEOUT_MS = 2500
+_FETCH_TIMEOUT_MS = 2000
+_PAUSE_S = 0.2
+_AVOID_MS = 3000
+
+_log = get_logger('follower')
+
+
+class ItemSink(abc.ABC):
+    """Take what an upstream sends."""
+
+    @property
+    @abc.abstractmethod
+    def config(self) -> FleetConfig:
+        """Return the configuration in force."""
+
+    @property
+    @abc.abstractmethod
+    def ready(self) -> bool:
+        """Tell whether any configuration has been received."""
+
+    @abc.abstractmethod
+    def owns_state(self) -> bool:
+        """Tell whether the own replica supplies the configuration."""
+
+    @abc.abstractmethod
+    def take(self, item: WatchItem) -> bool:
+        """Take an item; return false when the stream must be renewed."""
+
+
+@final
+class Following:
+    """Watch one upstream at a time."""
+
+    def __init__(
+        self,
+        book: AddressBook,
+        client: RpcClient,
+        clock: Clock,
+        sink: ItemSink,
+    ) -> None:
+        self._book = book
+        self._client = client
+        self._clock = clock
+        self._sink = sink
+        self._avoided: dict[VmId, int] = {}
+
+    async def run_forever(self) -> None:
+        """Follow until cancelled."""
+        await self._fetch_from_region()
+        while True:
+            upstream = self._upstream()
+            if upstream is not None:
+                await self._follow(upstream)
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _fetch_from_region(self) -> None:
+        """Begin with the newest state of the region, so as not to go back."""
+        own = self._book.own
+        near = [
+            vm
+            for vm in self._book.known().values()
+            if vm.region == own.region and vm.vm_id != own.vm_id
+        ]
+        await asyncio.gather(*(self._fetch(vm.peer_address) for vm in near))
+
+    async def _fetch(self, address: str) -> None:
+        reply = await self._client.call(
+            address, FETCH_PATH, self._request(), FetchReply, _FETCH_TIMEOUT_MS
+        )
+        if reply.is_ok() and reply.ok.snapshot is not None:
+            self._sink.take(reply.ok.snapshot)
+
+    def _upstream(self) -> Upstream | None:
+        if self._sink.owns_state():
+            return None
+        now_ms = self._clock.now_ms()
+        self._avoided = {
+            vm_id: until_ms
+            for vm_id, until_ms in self._avoided.items()
+            if until_ms > now_ms
+        }
+        # Before the first gossip only the peers in the settings are known.
+        live = self._book.live()
+        known = live if len(live) > 1 else self._book.known()
+        return choose_upstream(
+            self._book.own, known.values(), frozenset(self._avoided)
+        )
+
+    async def _follow(self, upstream: Upstream) -> None:
+        _log.info('Following %s.', upstream.vm_id)
+        replies = self._client.stream(
+            upstream.address,
+            WATCH_PATH,
+            self._request(),
+            WatchReply,
+            _IDLE_TIMEOUT_MS,
+        )
+        async for reply in replies:
+            if reply.is_error():
+                self._avoid(upstream, reply.error.sentence)
+                return
+            taken = [self._sink.take(item) for item in reply.ok.items]
+            if not all(taken) or self._upstream() != upstream:
+                return
+
+    def _avoid(self, upstream: Upstream, sentence: str) -> None:
+        _log.warning('%s gives nothing: %s', upstream.vm_id, sentence)
+        until_ms = self._clock.now_ms() + _AVOID_MS
+        self._avoided[upstream.vm_id] = until_ms
+        self._client.reset(upstream.address)
+
+    def _request(self) -> WatchRequest:
+        revision = self._sink.config.revision if self._sink.ready else -1
+        return WatchRequest(self._book.own.vm_id, revision)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/formation.py
@@ -0,0 +1,174 @@
+"""Bring a replica into the group: first formation, restart or rebuild.
+
+A first voter with an empty folder may only vote when no group exists yet,
+since a lost disk has also lost its votes.  It therefore becomes PREPARED when
+all other first voters answer that they are no further than that, and ACTIVE
+when all are PREPARED or further.  Nobody is ACTIVE before all are PREPARED, so
+an empty folder that meets an ACTIVE replica has lost its disk: it asks the
+leader to be removed and added again as a learner.
+"""
+
+import asyncio
+import random
+from pathlib import Path
+from typing import final
+
+from baobabwharf_core.ids import VmId
+from baobabwharf_decisions.consensus.messages import Membership, Snapshot
+
+from baobabwharf_daemon.address_book import AddressBook
+from baobabwharf_daemon.durable import make_folder
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.replica_engine import ReplicaEngine
+from baobabwharf_daemon.replica_messages import (
+    JOIN_PATH,
+    STATUS_PATH,
+    JoinReply,
+    JoinRequest,
+    ReplicaStatus,
+    StatusRequest,
+)
+from baobabwharf_daemon.replica_stage import Stage, read_stage, write_stage
+from baobabwharf_daemon.replica_writer import ReplicaWriter
+from baobabwharf_daemon.rpc import RpcClient
+
+_POLL_S = 0.1
+_JOIN_POLL_S = 0.3
+_CALL_TIMEOUT_MS = 1000
+_NONCE_BITS = 62
+_EARLY = frozenset((Stage.BLANK, Stage.PREPARED))
+_LATE = frozenset((Stage.PREPARED, Stage.ACTIVE))
+
+_log = get_logger('consensus')
+
+
+@final
+class Formation:
+    """Decide when the replica of this VM may start."""
+
+    def __init__(
+        self,
+        folder: Path,
+        voters: tuple[VmId, ...],
+        book: AddressBook,
+        client: RpcClient,
+        writer: ReplicaWriter,
+        generator: random.Random,
+    ) -> None:
+        self._folder = folder
+        self._voters = voters
+        self._book = book
+        self._client = client
+        self._writer = writer
+        self._random = generator
+        self._stage = Stage.BLANK
+
+    @property
+    def stage(self) -> Stage:
+        """Return the stage of this replica."""
+        return self._stage
+
+    async def bring_up(self, engine: ReplicaEngine) -> None:
+        """Return once the core runs; wait for others as long as needed.
+
+        Raise OSError when the files can't be read or written.
+        """
+        await self._writer.on_disk(lambda: make_folder(self._folder))
+        room = self._writer.files.room()
+        if room.is_error():
+            raise OSError(room.error)
+        await self._read_stage()
+        if self._stage is Stage.BLANK:
+            await self._prepare()
+        if self._stage is Stage.PREPARED:
+            await self._await_prepared()
+        if self._stage is Stage.LOST:
+            await self._join()
+        while not await self._load(engine):
+            await self._join()
+
+    async def _read_stage(self) -> None:
+        found = await self._writer.on_disk(lambda: read_stage(self._folder))
+        if found.is_ok():
+            self._stage = found.ok
+            return
+        _log.error('%s The replica will be rebuilt.', found.error)
+        await self._enter(Stage.LOST)
+
+    async def _enter(self, stage: Stage) -> None:
+        await self._writer.on_disk(lambda: write_stage(self._folder, stage))
+        self._stage = stage
+        _log.info('Replica is %s.', stage.value)
+
+    async def _prepare(self) -> None:
+        own = self._book.own.vm_id
+        while own in self._voters:
+            stages = await self._stages_of_others()
+            if Stage.ACTIVE in stages:
+                _log.error('The folder is empty although the group exists.')
+                break
+            if _EARLY.issuperset(stages):
+                first = Snapshot(membership=Membership(self._voters))
+                await self._reset(first)
+                await self._enter(Stage.PREPARED)
+                return
+            await asyncio.sleep(_POLL_S)
+        await self._enter(Stage.LOST)
+
+    async def _await_prepared(self) -> None:
+        stages = await self._stages_of_others()
+        while not _LATE.issuperset(stages):
+            await asyncio.sleep(_POLL_S)
+            stages = await self._stages_of_others()
+        await self._enter(Stage.ACTIVE)
+
+    async def _load(self, engine: ReplicaEngine) -> bool:
+        loaded = await engine.load(self._book.own.vm_id)
+        if loaded.is_ok():
+            return True
+        _log.error('%s The replica will be rebuilt.', loaded.error)
+        await self._enter(Stage.LOST)
+        await self._writer.on_disk(self._writer.files.set_aside)
+        return False
+
+    async def _join(self) -> None:
+        await self._reset(Snapshot())
+        nonce = self._random.getrandbits(_NONCE_BITS)
+        admitted = await self._ask_to_join(nonce)
+        while not admitted:
+            await asyncio.sleep(_JOIN_POLL_S)
+            admitted = await self._ask_to_join(nonce)
+        await self._enter(Stage.ACTIVE)
+
+    async def _reset(self, snapshot: Snapshot) -> None:
+        await self._writer.on_disk(lambda: self._writer.files.reset(snapshot))
+
+    async def _ask_to_join(self, nonce: int) -> bool:
+        request = JoinRequest(self._book.own.vm_id, nonce)
+        for vm in self._book.other_disk_vms():
+            reply = await self._client.call(
+                vm.peer_address, JOIN_PATH, request, JoinReply, _CALL_TIMEOUT_MS
+            )
+            if reply.is_ok() and reply.ok.admitted:
+                return True
+        return False
+
+    async def _stages_of_others(self) -> list[Stage]:
+        others = [
+            voter for voter in self._voters if voter != self._book.own.vm_id
+        ]
+        return list(await asyncio.gather(*map(self._stage_of, others)))
+
+    async def _stage_of(self, vm_id: VmId) -> Stage:
+        """Return the stage of a voter; an unreachable one counts as lost."""
+        address = self._book.address_of(vm_id)
+        if address is None:
+            return Stage.LOST
+        reply = await self._client.call(
+            address,
+            STATUS_PATH,
+            StatusRequest(self._book.own.vm_id),
+            ReplicaStatus,
+            _CALL_TIMEOUT_MS,
+        )
+        return Stage(reply.ok.stage) if reply.is_ok() else Stage.LOST
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/leader_duties.py
@@ -0,0 +1,104 @@
+"""Do what only the leader does: members, and claims of dead VMs."""
+
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import VmId
+from baobabwharf_decisions.consensus.messages import MembershipStep
+from baobabwharf_decisions.fleet_state.commands import LoseOwner
+
+from baobabwharf_daemon.address_book import AddressBook
+from baobabwharf_daemon.replica_calls import ReplicaCalls
+from baobabwharf_daemon.replica_engine import ReplicaEngine
+from baobabwharf_daemon.replica_messages import JoinReply, JoinRequest
+
+# Larger groups only add a slower majority.
+_MAX_VOTERS = 7
+# A VM that was not seen for that long is taken for dead.  A claim that it
+# still finishes later is recorded all the same.
+_OWNER_LOST_MS = 10_000
+_SUBMIT_TIMEOUT_S = 2.0
+
+
+@final
+class LeaderDuties:
+    """Act while the replica of this VM leads."""
+
+    def __init__(
+        self,
+        engine: ReplicaEngine,
+        calls: ReplicaCalls,
+        book: AddressBook,
+        clock: Clock,
+    ) -> None:
+        self._engine = engine
+        self._calls = calls
+        self._book = book
+        self._clock = clock
+        self._nonces: dict[VmId, int] = {}
+        self._missing_since_ms: dict[VmId, int] = {}
+
+    async def join(self, request: JoinRequest) -> JoinReply:
+        """Add a VM that holds no log as learner, after removing it."""
+        status = self._engine.status
+        if status is None or not status.is_leader:
+            return JoinReply(False)
+        vm_id = request.vm_id
+        if vm_id not in status.membership.members:
+            self._add(request)
+            return JoinReply(False)
+        if self._nonces.get(vm_id) != request.nonce:
+            self._calls.change_membership(MembershipStep.REMOVE, vm_id)
+            return JoinReply(False)
+        return JoinReply(self._is_settled())
+
+    async def work(self) -> None:
+        """Do what is due; called about once a second."""
+        status = self._engine.status
+        if status is None or not status.is_leader:
+            self._missing_since_ms.clear()
+            self._nonces.clear()
+            return
+        self._remove_withdrawn_vms()
+        self._promote_learners()
+        await self._lose_dead_owners()
+
+    def _add(self, request: JoinRequest) -> None:
+        step = MembershipStep.ADD_LEARNER
+        index = self._calls.change_membership(step, request.vm_id)
+        if index is not None:
+            self._nonces[request.vm_id] = request.nonce
+
+    def _is_settled(self) -> bool:
+        core = self._engine.core
+        if core is None:
+            return False
+        return core.log.membership_index <= core.status.commit
+
+    def _remove_withdrawn_vms(self) -> None:
+        status = self._engine.status
+        gone = self._engine.machine.removed_vms
+        if status is None:
+            return
+        for member in status.membership.members:
+            if member in gone:
+                self._calls.change_membership(MembershipStep.REMOVE, member)
+
+    def _promote_learners(self) -> None:
+        status = self._engine.status
+        if status is None or len(status.membership.voters) >= _MAX_VOTERS:
+            return
+        for learner in status.membership.learners:
+            self._calls.change_membership(MembershipStep.PROMOTE, learner)
+
+    async def _lose_dead_owners(self) -> None:
+        now_ms = self._clock.now_ms()
+        owners = self._engine.machine.claims.running_owners()
+        missing = owners - set(self._book.live())
+        self._missing_since_ms = {
+            owner: self._missing_since_ms.get(owner, now_ms)
+            for owner in sorted(missing)
+        }
+        for owner, since_ms in self._missing_since_ms.items():
+            if now_ms - since_ms >= _OWNER_LOST_MS:
+                await self._calls.submit(LoseOwner(owner), _SUBMIT_TIMEOUT_S)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/replica_calls.py
@@ -0,0 +1,107 @@
+"""Commit operations and read outcomes on the replica of this VM."""
+
+from collections.abc import Callable
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.codec import encode
+from baobabwharf_core.ids import LogIndex, RequestId, VmId
+from baobabwharf_decisions.consensus.messages import MembershipStep
+from baobabwharf_decisions.fleet_state.commands import Command, Operation
+from expression import Error, Result
+
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.replica_engine import ReplicaEngine
+from baobabwharf_daemon.replica_messages import (
+    OutcomeReply,
+    ProposeReply,
+    ReplyKind,
+)
+
+_MAX_WAITERS = 4096
+
+RoomCheck = Callable[[], Result[None, str]]
+
+_log = get_logger('consensus')
+
+
+@final
+class ReplicaCalls:
+    """Use the engine for callers; only the leader serves them."""
+
+    def __init__(
+        self, engine: ReplicaEngine, clock: Clock, room: RoomCheck
+    ) -> None:
+        self._engine = engine
+        self._clock = clock
+        self._room = room
+
+    async def submit(
+        self, operation: Operation, timeout_s: float
+    ) -> ProposeReply:
+        """Commit an operation if this replica leads."""
+        core = self._engine.core
+        if core is None or not core.status.is_leader:
+            return ProposeReply(ReplyKind.NOT_LEADER, leader_id=self._leader())
+        room = self._check_room()
+        if room.is_error():
+            return ProposeReply(ReplyKind.REFUSED, sentence=room.error)
+        command = Command(self._clock.wall_ms(), operation)
+        index = core.propose(encode(command))
+        if index is None:
+            return ProposeReply(ReplyKind.NOT_LEADER)
+        waiters = self._engine.waiters
+        waiter = waiters.expect(index, core.status.term)
+        self._engine.pump()
+        return await waiters.wait(waiter, timeout_s)
+
+    async def read_outcome(
+        self, request_id: RequestId, timeout_s: float
+    ) -> OutcomeReply:
+        """Read the first answer to a request id, linearisably."""
+        core = self._engine.core
+        waiters = self._engine.waiters
+        read_id, waiter = waiters.expect_read()
+        if core is None or not core.read(read_id):
+            waiters.resolve_read(read_id, False)
+            return OutcomeReply(ReplyKind.NOT_LEADER, leader_id=self._leader())
+        self._engine.pump()
+        if not await waiters.wait_read(waiter, timeout_s):
+            return OutcomeReply(ReplyKind.UNKNOWN)
+        outcome = self._engine.machine.first_answer(request_id)
+        return OutcomeReply(ReplyKind.ANSWERED, outcome)
+
+    def change_membership(
+        self, step: MembershipStep, vm_id: VmId
+    ) -> LogIndex | None:
+        """Begin a membership change; None when it can't begin now."""
+        core = self._engine.core
+        if core is None:
+            return None
+        index = core.change_membership(step, vm_id)
+        if index is not None:
+            _log.info('Membership step %s of %s.', step.value, vm_id)
+        self._engine.pump()
+        return index
+
+    def hand_over(self, own: VmId) -> bool:
+        """Transfer leadership to the voter that holds most."""
+        core = self._engine.core
+        if core is None or not core.status.is_leader:
+            return False
+        voters = set(core.status.membership.voters) - {own}
+        if not voters:
+            return False
+        target = max(sorted(voters), key=core.match_of)
+        started = core.transfer(target)
+        self._engine.pump()
+        return started
+
+    def _leader(self) -> VmId | None:
+        status = self._engine.status
+        return None if status is None else status.leader_id
+
+    def _check_room(self) -> Result[None, str]:
+        if len(self._engine.waiters) >= _MAX_WAITERS:
+            return Error('Too many operations wait for the replicas.')
+        return self._room()
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/replica_links.py
@@ -0,0 +1,113 @@
+"""Carry messages of the Raft core to other replicas."""
+
+import asyncio
+from collections.abc import Callable
+from typing import final
+
+from baobabwharf_core.ids import VmId
+from baobabwharf_decisions.consensus.messages import Message
+
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.replica_messages import (
+    DELIVER_PATH,
+    Delivered,
+    Delivery,
+)
+from baobabwharf_daemon.rpc import RpcClient
+
+_DELIVER_TIMEOUT_MS = 1000
+# Calls in flight to one replica; the core's own window is smaller.
+_MAX_CALLS = 16
+_MAX_QUEUED = 1024
+# After that many calls without a reply the connection is opened anew, since
+# a silently dropped one gives no other sign.
+_FAILURES_BEFORE_RESET = 3
+
+AddressOf = Callable[[VmId], str | None]
+
+_log = get_logger('consensus')
+
+
+@final
+class ReplicaLink:
+    """Send messages to one replica; those that can't be sent are dropped."""
+
+    def __init__(
+        self, vm_id: VmId, client: RpcClient, address_of: AddressOf
+    ) -> None:
+        self._vm_id = vm_id
+        self._client = client
+        self._address_of = address_of
+        self._queue: list[Message] = []
+        self._calls: set[asyncio.Task[None]] = set()
+        self._failures = 0
+
+    def offer(self, message: Message) -> None:
+        """Queue a message; it leaves at the end of this loop turn."""
+        if len(self._queue) >= _MAX_QUEUED:
+            return
+        if not self._queue:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._queue.append(message)
+
+    def close(self) -> None:
+        """Cancel what is under way."""
+        for call in self._calls:
+            call.cancel()
+
+    def _flush(self) -> None:
+        if not self._queue or len(self._calls) >= _MAX_CALLS:
+            return
+        messages = tuple(self._queue)
+        self._queue.clear()
+        call = asyncio.create_task(self._deliver(messages))
+        self._calls.add(call)
+        call.add_done_callback(self._ended)
+
+    def _ended(self, call: asyncio.Task[None]) -> None:
+        self._calls.discard(call)
+        self._flush()
+
+    async def _deliver(self, messages: tuple[Message, ...]) -> None:
+        address = self._address_of(self._vm_id)
+        if address is None:
+            return
+        reply = await self._client.call(
+            address,
+            DELIVER_PATH,
+            Delivery(messages),
+            Delivered,
+            _DELIVER_TIMEOUT_MS,
+        )
+        if reply.is_ok():
+            self._failures = 0
+            return
+        self._failures += 1
+        if self._failures == _FAILURES_BEFORE_RESET:
+            _log.warning('%s gives no reply: %s', self._vm_id, reply.error)
+        if self._failures % _FAILURES_BEFORE_RESET == 0:
+            self._client.reset(address)
+
+
+@final
+class ReplicaLinks:
+    """Hold one link for each other replica."""
+
+    def __init__(self, client: RpcClient, address_of: AddressOf) -> None:
+        self._client = client
+        self._address_of = address_of
+        self._links: dict[VmId, ReplicaLink] = {}
+
+    def send(self, receiver: VmId, message: Message) -> None:
+        """Send a message to a replica."""
+        link = self._links.get(receiver)
+        if link is None:
+            link = ReplicaLink(receiver, self._client, self._address_of)
+            self._links[receiver] = link
+        link.offer(message)
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
--- a/packages/decisions/src/baobabwharf_decisions/fleet_state/machine.py
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/machine.py
@@ -83,7 +83,7 @@
             TakeLease: self._take_lease,
             ReleaseLease: self._release_lease,
             BeginClaim: self._begin_claim,
-            FinishClaim: self._finish_claim,
+            FinishClaim: lambda ended: self._claims.finish(ended),
             LoseOwner: self._lose_owner,
         }
 
@@ -92,6 +92,11 @@
         """Return the configuration."""
         return self._config
 
+    @property
+    def removed_vms(self) -> frozenset[VmId]:
+        """Return the VMs that were removed for good."""
+        return frozenset(self._removed_vms)
+
     @property
     def claims(self) -> ClaimTable:
         """Return the claims, for reading."""
@@ -210,9 +215,6 @@
     def _begin_claim(self, operation: BeginClaim) -> Answer:
         return self._claims.begin(operation, self._clock_ms)
 
-    def _finish_claim(self, operation: FinishClaim) -> Answer:
-        return self._claims.finish(operation)
-
     def _lose_owner(self, operation: LoseOwner) -> Answer:
         self._claims.lose_owner(operation)
         return Done()
