Consensus: add the randomised schedule test of core and state machine

Cause: agreement is only worth what was tried against loss, reorder, crashes that lose unsynced records, partitions, frozen VMs, drifting clocks, lost disks and membership changes.

--- a/packages/daemon/src/baobabwharf_daemon/leader_duties.py
+++ b/packages/daemon/src/baobabwharf_daemon/leader_duties.py
@@ -18,6 +18,8 @@
 # still finishes later is recorded all the same.
 _OWNER_LOST_MS = 10_000
 _SUBMIT_TIMEOUT_S = 2.0
+# The leader sends nothing to a replica once its removal has begun.
+_SILENCE_MS = 5000
 
 
 @final
@@ -55,6 +57,7 @@
     async def work(self) -> None:
         """Do what is due; called about once a second."""
         status = self._engine.status
+        self._leave_when_removed()
         if status is None or not status.is_leader:
             self._missing_since_ms.clear()
             self._nonces.clear()
@@ -63,6 +66,17 @@
         self._promote_learners()
         await self._lose_dead_owners()
 
+    def _leave_when_removed(self) -> None:
+        own = self._book.own.vm_id
+        core = self._engine.core
+        if core is None or own not in self._engine.machine.removed_vms:
+            return
+        heard_ms = core.status.leader_heard_ms or 0
+        if core.status.is_leader:
+            self._calls.hand_over(own)
+        elif self._clock.now_ms() - heard_ms >= _SILENCE_MS:
+            core.retire()
+
     def _add(self, request: JoinRequest) -> None:
         step = MembershipStep.ADD_LEARNER
         index = self._calls.change_membership(step, request.vm_id)
--- a/packages/daemon/src/baobabwharf_daemon/replica_engine.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_engine.py
@@ -29,7 +29,7 @@
 from baobabwharf_daemon.replica_waiters import Waiters
 from baobabwharf_daemon.replica_writer import ReplicaWriter
 
-# A restart replays at most this many entries.
+# A restart replays about as many entries; eight times as many at most.
 _ENTRIES_BETWEEN_SNAPSHOTS = 1000
 
 ApplyListener = Callable[[FleetConfig, AppliedChange | None], None]
@@ -108,7 +108,7 @@
         core = self._core
         if core is None:
             return
-        if self._compaction_is_due(core):
+        if core.wants_compaction(self._applied, _ENTRIES_BETWEEN_SNAPSHOTS):
             core.compact(self._applied, self._machine.snapshot())
         output = core.take_output()
         if output.persist is not None:
@@ -188,7 +188,3 @@
             self._listener(self._machine.config, change)
         self._applied = entry.index
         self._waiters.resolve(entry.index, entry.term, answer)
-
-    def _compaction_is_due(self, core: RaftCore) -> bool:
-        behind = self._applied - core.log.snapshot.last_index
-        return behind >= _ENTRIES_BETWEEN_SNAPSHOTS
--- a/packages/decisions/src/baobabwharf_decisions/consensus/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/core.py
@@ -40,6 +40,7 @@
     confirm_sync,
     follow_membership,
     reset_election_deadline,
+    step_role,
     take_persist,
 )
 
@@ -125,7 +126,7 @@
         """Act on the passing of time."""
         replica = self._replica
         replica.now_ms = max(replica.now_ms, now_ms)
-        if self._lost_quorum():
+        if replica.is_leader and leading.lost_quorum(replica):
             elections.step_down(replica, 'quorum_lost')
             replica.leader_id = None
         elif replica.is_leader:
@@ -189,6 +190,23 @@
         leading.heartbeat(replica)
         return True
 
+    def retire(self) -> None:
+        """Take part no more, because this VM was removed for good.
+
+        The log alone does not tell: a learner that was removed and added
+        again meets its old removal while it catches up.
+        """
+        replica = self._replica
+        if replica.role != REMOVED and not replica.is_leader:
+            step_role(replica, 'removed')
+
+    def wants_compaction(self, index: LogIndex, threshold: int) -> bool:
+        """Tell whether the log should be compacted up to an applied index."""
+        behind = index - self._replica.log.snapshot.last_index
+        if behind < threshold:
+            return False
+        return not snapshots.compaction_waits(self._replica, behind, threshold)
+
     def compact(self, index: LogIndex, payload: bytes) -> None:
         """Replace the log up to an applied index by a snapshot."""
         replica = self._replica
@@ -227,12 +245,6 @@
         replica.delivered = replica.commit
         return replica.log.slice(first, count)
 
-    def _lost_quorum(self) -> bool:
-        replica = self._replica
-        led_ms = replica.now_ms - replica.led_since_ms
-        settled = led_ms >= replica.options.election_ms
-        return replica.is_leader and settled and not leading.has_quorum(replica)
-
     def _receive_answer(self, message: AppendAnswer | SnapshotAnswer) -> None:
         replica = self._replica
         elections.observe_term(replica, message.term)
--- a/packages/decisions/src/baobabwharf_decisions/consensus/leading.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/leading.py
@@ -126,15 +126,17 @@
             _send_append(replica, member, progress, ())
 
 
-def has_quorum(replica: Replica) -> bool:
-    """Tell whether a majority was heard within an election timeout."""
-    oldest = replica.now_ms - replica.options.election_ms
+def lost_quorum(replica: Replica) -> bool:
+    """Tell whether no majority was heard within an election timeout."""
+    oldest_ms = replica.now_ms - replica.options.election_ms
+    if replica.led_since_ms > oldest_ms:
+        return False
     heard = 0
     for voter in replica.log.membership.voters:
         progress = replica.progress.get(voter)
-        if progress is None or progress.heard_ms >= oldest:
+        if progress is None or progress.heard_ms >= oldest_ms:
             heard += 1
-    return heard >= replica.log.membership.majority
+    return heard < replica.log.membership.majority
 
 
 def _held_by(replica: Replica, voter: VmId) -> LogIndex:
--- a/packages/decisions/src/baobabwharf_decisions/consensus/replica.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/replica.py
@@ -42,6 +42,8 @@
     sent_ms: int = 0
     heard_ms: int = 0
     read_round: int = 0
+    # The snapshot under way stays the same while the log is compacted.
+    snapshot: Snapshot | None = None
     snapshot_offset: int = 0
 
 
@@ -221,18 +223,13 @@
 
 
 def advance_commit(replica: Replica, index: LogIndex) -> None:
-    """Move the commit index forward and notice an own removal."""
+    """Move the commit index forward."""
     if index <= replica.commit:
         return
     check_invariant(
         index <= replica.log.last_index, 'A missing entry is committed.'
     )
-    before = replica.log.membership_at(replica.commit)
     replica.commit = index
-    after = replica.log.membership_at(index)
-    gone = replica.vm_id in before.members
-    if gone and replica.vm_id not in after.members:
-        step_role(replica, 'removed')
 
 
 def reset_election_deadline(replica: Replica) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/consensus/snapshots.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/snapshots.py
@@ -17,6 +17,9 @@
     send_now,
 )
 
+# A log may grow to this many thresholds for members that catch up.
+_LONGEST_WAIT_FACTOR = 8
+
 
 def send_chunk_when_idle(
     replica: Replica, member: VmId, progress: Progress
@@ -24,7 +27,8 @@
     """Send the next part unless one is in flight."""
     if progress.inflight:
         return
-    snapshot = replica.log.snapshot
+    snapshot = progress.snapshot or replica.log.snapshot
+    progress.snapshot = snapshot
     end = progress.snapshot_offset + replica.options.chunk_bytes
     part = snapshot.payload[progress.snapshot_offset : end]
     chunk = SnapshotChunk(
@@ -46,18 +50,34 @@
     if progress is None or progress.session != answer.session:
         return False
     progress.heard_ms = replica.now_ms
-    if progress.next_index > replica.log.snapshot.last_index:
+    sent = progress.snapshot
+    if sent is None or sent.last_index != answer.last_index:
         return False
     progress.inflight = 0
     if answer.installed:
         _note_installed(progress, answer.last_index)
         return True
-    same = answer.last_index == replica.log.snapshot.last_index
-    progress.snapshot_offset = answer.next_offset if same else 0
+    progress.snapshot_offset = answer.next_offset
     send_chunk_when_idle(replica, answer.sender, progress)
     return False
 
 
+def compaction_waits(replica: Replica, behind: int, threshold: int) -> bool:
+    """Tell whether a compaction would cut off a member that catches up.
+
+    Without the wait, a member whose transfer takes longer than the leader
+    needs to fill its log is sent one snapshot after another for ever.
+    """
+    if behind >= threshold * _LONGEST_WAIT_FACTOR:
+        return False
+    oldest_ms = replica.now_ms - replica.options.election_ms
+    behind_base = replica.log.snapshot.last_index + threshold // 2
+    return any(
+        progress.heard_ms >= oldest_ms and progress.match_index < behind_base
+        for progress in replica.progress.values()
+    )
+
+
 def on_snapshot_chunk(replica: Replica, chunk: SnapshotChunk) -> None:
     """Collect parts in order and install the whole snapshot."""
     snapshot = chunk.snapshot
@@ -103,6 +123,7 @@
 def _note_installed(progress: Progress, index: LogIndex) -> None:
     progress.match_index = max(progress.match_index, index)
     progress.next_index = max(progress.next_index, LogIndex(index + 1))
+    progress.snapshot = None
     progress.snapshot_offset = 0
     progress.probing = True
 
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/consensus_fuzz.py
@@ -0,0 +1,85 @@
+"""Run randomised schedules of the consensus core and state machine."""
+
+import argparse
+import sys
+import time
+import traceback
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+
+import msgspec
+from baobabwharf_core.invariants import InvariantViolation
+
+from baobabwharf_testkit.consensus_sim.faults import CheckFailed, Fault
+from baobabwharf_testkit.consensus_sim.rejoin import run_rejoin
+from baobabwharf_testkit.consensus_sim.world import Summary, World
+
+# The rejoin schedule has few random choices, so only some seeds run it.
+_REJOIN_EVERY = 20
+
+
+class SeedVerdict(msgspec.Struct, frozen=True):
+    """Tell how one seed ended; check names what it broke."""
+
+    seed: int
+    summary: Summary | None
+    check: str = ''
+    sentence: str = ''
+
+
+def run_seed(seed: int, fault: Fault) -> SeedVerdict:
+    """Run one seed; equal seeds end equally."""
+    try:
+        return SeedVerdict(seed, _run_checked(seed, fault))
+    except CheckFailed as broken:
+        return SeedVerdict(seed, None, broken.check, str(broken))
+    except InvariantViolation as broken:
+        return SeedVerdict(seed, None, 'invariant', str(broken))
+
+
+def _run_checked(seed: int, fault: Fault) -> Summary:
+    if seed % _REJOIN_EVERY == 0:
+        run_rejoin(seed, fault)
+    return World(seed, fault).run()
+
+
+def _run_reported(seed: int, fault: Fault) -> SeedVerdict:
+    try:
+        return run_seed(seed, fault)
+    except Exception:
+        return SeedVerdict(seed, None, 'exception', traceback.format_exc())
+
+
+def _parse(arguments: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=200)
+    parser.add_argument('--start', type=int, default=1)
+    parser.add_argument('--jobs', type=int, default=1)
+    names = [fault.value for fault in Fault]
+    parser.add_argument('--fault', choices=names, default=Fault.NONE.value)
+    return parser.parse_args(arguments)
+
+
+def main() -> int:
+    """Run the seeds; return 1 if any broke a check."""
+    options = _parse(sys.argv[1:])
+    seeds = range(options.start, options.start + options.seeds)
+    run = partial(_run_reported, fault=Fault(options.fault))
+    began = time.monotonic()
+    with ProcessPoolExecutor(options.jobs) as pool:
+        verdicts = list(pool.map(run, seeds, chunksize=10))
+    failed = [verdict for verdict in verdicts if verdict.summary is None]
+    sentences = [f'seed {broken.seed}: {broken.sentence}' for broken in failed]
+    print('\n'.join(sentences))
+    passed = [verdict.summary for verdict in verdicts if verdict.summary]
+    print(
+        f'{len(verdicts)} seeds from {options.start}, {len(failed)} failed, '
+        f'{sum(one.committed for one in passed)} entries committed, '
+        f'{sum(one.reads for one in passed)} reads, '
+        f'{time.monotonic() - began:.0f} s'
+    )
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/consensus_sim/__init__.py
@@ -0,0 +1,1 @@
+"""Run the Raft core and the state machine on simulated time and faults."""
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/consensus_sim/node.py
@@ -0,0 +1,221 @@
+"""Simulate the owner of one Raft core."""
+
+from collections.abc import Callable
+from typing import final
+
+from baobabwharf_core.codec import decode
+from baobabwharf_core.ids import LogIndex, VmId
+from baobabwharf_decisions.consensus.core import RaftCore
+from baobabwharf_decisions.consensus.messages import (
+    Entry,
+    Message,
+    Options,
+    Output,
+    Persist,
+    Snapshot,
+)
+from baobabwharf_decisions.fleet_state.commands import (
+    Answer,
+    ApplyChange,
+    ChangeAnswer,
+    Command,
+)
+from baobabwharf_decisions.fleet_state.machine import FleetMachine
+
+from baobabwharf_testkit.consensus_sim.checks import SafetyChecks
+from baobabwharf_testkit.consensus_sim.disk import SimDisk
+from baobabwharf_testkit.consensus_sim.faults import Fault
+from baobabwharf_testkit.consensus_sim.timeline import Timeline
+
+Sender = Callable[[VmId, VmId, Message], None]
+AnswerListener = Callable[[LogIndex, int, Answer], None]
+ReadListener = Callable[[bool], None]
+_TICK_MS = 50.0
+
+
+@final
+class SimNode:
+    """Own a core, a machine and a disk."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        timeline: Timeline,
+        checks: SafetyChecks,
+        disk: SimDisk,
+        send: Sender,
+        options: Options,
+        fault: Fault,
+    ) -> None:
+        self.vm_id = vm_id
+        self.disk = disk
+        self.core: RaftCore | None = None
+        self.machine = FleetMachine()
+        self.lost = False
+        self.drift = 1.0
+        self.frozen_until_ms = 0.0
+        self.compact_after = 25
+        self._timeline = timeline
+        self._checks = checks
+        self._send = send
+        self._options = options
+        self._fault = fault
+        self._life = 0
+        self._applied = LogIndex(0)
+        self._waiting: dict[LogIndex, tuple[int, AnswerListener]] = {}
+        self._reads: dict[int, ReadListener] = {}
+        self._last_read = 0
+
+    @property
+    def now_ms(self) -> int:
+        """Return this node's drifting clock."""
+        return int(self._timeline.now_ms * self.drift) + 1000
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether the core believes that it leads."""
+        return self.core is not None and self.core.status.is_leader
+
+    def start(self) -> None:
+        """Start the core from the disk."""
+        self._life += 1
+        self.machine.restore(self.disk.snapshot.payload)
+        self._applied = self.disk.snapshot.last_index
+        self.core = RaftCore(
+            self.vm_id,
+            self._options,
+            self._timeline.random,
+            self.disk.hard_state,
+            self.disk.snapshot,
+            self.disk.entries,
+        )
+        self.core.begin(self.now_ms)
+        self._tick(self._life)
+
+    def crash(self) -> None:
+        """Stop the core and lose unsynced records."""
+        self._life += 1
+        self.core = None
+        self._waiting.clear()
+        self._reads.clear()
+        self.disk.crash(self._timeline.random)
+
+    def receive(self, message: Message) -> None:
+        """Handle a message, late if frozen."""
+        wait_ms = self.frozen_until_ms - self._timeline.now_ms
+        if wait_ms > 0:
+            self._timeline.after(wait_ms, lambda: self.receive(message))
+        elif self.core is not None:
+            self.core.receive(message, self.now_ms)
+            self.pump()
+
+    def propose(self, payload: bytes, listener: AnswerListener) -> bool:
+        """Propose a command and wait for its answer."""
+        if self.core is None:
+            return False
+        index = self.core.propose(payload)
+        if index is not None:
+            self._waiting[index] = (self.core.status.term, listener)
+            self.pump()
+        return index is not None
+
+    def read(self, listener: ReadListener) -> bool:
+        """Start a linearisable read."""
+        if self.core is None:
+            return False
+        if self._fault is Fault.STALE_READ and self.leads:
+            listener(True)
+            return True
+        self._last_read += 1
+        started = self.core.read(self._last_read)
+        if started:
+            self._reads[self._last_read] = listener
+            self.pump()
+        return started
+
+    def pump(self) -> None:
+        """Carry out what the core asks for."""
+        core = self.core
+        if core is None:
+            return
+        if core.status.is_leader:
+            self._checks.on_leader(self.vm_id, core)
+        output = core.take_output()
+        if output.persist is not None:
+            self._persist(core, output.persist)
+        for item in output.messages:
+            self._send(self.vm_id, item.receiver, item.message)
+        self._apply_all(core, output)
+        if self.core is core:
+            self._compact_when_due(core)
+
+    def _tick(self, life: int) -> None:
+        if life != self._life:
+            return
+        if self.core is not None and not self._frozen():
+            self.core.tick(self.now_ms)
+            self.pump()
+        self._timeline.after(_TICK_MS, lambda: self._tick(life))
+
+    def _frozen(self) -> bool:
+        return self.frozen_until_ms > self._timeline.now_ms
+
+    def _persist(self, core: RaftCore, request: Persist) -> None:
+        if request.entries:
+            before = LogIndex(request.entries[0].index - 1)
+            previous = core.log.term_at(before)
+            if previous is not None:
+                self._checks.on_log(previous, request.entries)
+        self.disk.submit(request)
+        life = self._life
+        sync_ms = 0.5 + self._timeline.random.expovariate(0.5)
+        self._timeline.after(
+            sync_ms, lambda: self._synced(life, request.sequence)
+        )
+        if self._fault is Fault.ACK_BEFORE_SYNC:
+            core.synced(request.sequence, self.now_ms)
+            self._timeline.after(0.0, self.pump)
+
+    def _synced(self, life: int, sequence: int) -> None:
+        if life != self._life or self.core is None:
+            return
+        self.disk.complete(sequence)
+        if self._fault is not Fault.ACK_BEFORE_SYNC:
+            self.core.synced(sequence, self.now_ms)
+            self.pump()
+
+    def _apply_all(self, core: RaftCore, output: Output) -> None:
+        if output.restore is not None:
+            self._restore(output.restore)
+        for entry in output.committed:
+            self._apply(core, entry)
+        for read in output.reads:
+            listener = self._reads.pop(read.read_id)
+            listener(read.index is not None)
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        self.machine.restore(snapshot.payload)
+        self._applied = snapshot.last_index
+        self._checks.on_state(snapshot.last_index, snapshot.payload)
+
+    def _apply(self, core: RaftCore, entry: Entry) -> None:
+        answer: Answer | None = None
+        accepted = None
+        if entry.payload:
+            command = decode(entry.payload, Command)
+            answer = self.machine.apply(command)
+            changed = self.machine.last_change is not None
+            if changed and isinstance(command.operation, ApplyChange):
+                accepted = command.operation.request.request_id
+        self._applied = entry.index
+        self._checks.on_applied(entry, core.status.term, accepted)
+        term, listener = self._waiting.pop(entry.index, (0, None))
+        if listener is not None and term == entry.term:
+            assert isinstance(answer, ChangeAnswer)
+            listener(entry.index, entry.term, answer)
+
+    def _compact_when_due(self, core: RaftCore) -> None:
+        if core.wants_compaction(self._applied, self.compact_after):
+            payload = self.machine.snapshot()
+            self._checks.on_state(self._applied, payload)
+            core.compact(self._applied, payload)
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/consensus_sim/rebuild.py
@@ -0,0 +1,79 @@
+"""Wipe a disk and rebuild its replica as a learner."""
+
+from typing import final
+
+from baobabwharf_core.ids import VmId
+from baobabwharf_decisions.consensus.messages import MembershipStep
+
+from baobabwharf_testkit.consensus_sim.node import SimNode
+from baobabwharf_testkit.consensus_sim.timeline import Timeline
+
+_POLL_MS = 200.0
+
+
+@final
+class Rebuild:
+    """Lose one disk at a time, as the design promises to survive."""
+
+    def __init__(self, timeline: Timeline, nodes: list[SimNode]) -> None:
+        self._timeline = timeline
+        self._nodes = nodes
+        self._node: SimNode | None = None
+        self._added = False
+
+    def wipe(self) -> None:
+        """Lose a disk, once the last lost one is a voter again."""
+        node = self._timeline.random.choice(self._nodes)
+        if self._node is not None or not self._is_member(node):
+            return
+        node.crash()
+        node.disk.wipe()
+        node.lost = True
+        self._node = node
+        self._added = False
+        self._work()
+
+    def _is_member(self, node: SimNode) -> bool:
+        return any(
+            leader.core is not None
+            and leader.leads
+            and leader is not node
+            and node.vm_id in leader.core.status.membership.voters
+            for leader in self._nodes
+        )
+
+    def _work(self) -> None:
+        node = self._node
+        if node is None:
+            return
+        self._timeline.after(_POLL_MS, self._work)
+        for leader in self._nodes:
+            if leader.leads:
+                self._work_at(leader, node)
+
+    def _work_at(self, leader: SimNode, node: SimNode) -> None:
+        core = leader.core
+        if core is None:
+            return
+        membership = core.status.membership
+        settled = core.log.membership_index <= core.status.commit
+        if node.vm_id not in membership.members:
+            step = MembershipStep.ADD_LEARNER
+            added = core.change_membership(step, node.vm_id)
+            self._added = self._added or added is not None
+        elif node.lost and not self._added:
+            core.change_membership(MembershipStep.REMOVE, node.vm_id)
+        elif settled:
+            self._continue(leader, node, membership.voters)
+        leader.pump()
+
+    def _continue(
+        self, leader: SimNode, node: SimNode, voters: tuple[VmId, ...]
+    ) -> None:
+        if node.vm_id in voters:
+            self._node = None
+        elif node.lost:
+            node.lost = False
+            node.start()
+        elif leader.core is not None:
+            leader.core.change_membership(MembershipStep.PROMOTE, node.vm_id)
