--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Send requests to endpoints and, once, to other VMs."""
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
@@ -0,0 +1,220 @@
+"""Forward a call once to a VM in another region."""
+
+import asyncio
+import ssl
+
+import aiohttp
+import msgspec
+from baobabwharf_core.ids import RegionId, VmId
+from baobabwharf_core.invariants import check_invariant
+from baobabwharf_core.platform import REQUEST_ID_HEADER
+from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+from baobabwharf_core.requests import RegionChoice
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.forwarding.endpoint_client import (
+    CONNECT_TIMEOUT_S,
+    new_session,
+)
+from baobabwharf_daemon.forwarding.events import EventStream, read_whole
+from baobabwharf_daemon.forwarding.relay import (
+    UPSTREAM_FAULTS,
+    answer_headers,
+    is_event_stream,
+    read_body,
+    relay_events,
+    relay_large,
+)
+from baobabwharf_daemon.forwarding.wire import (
+    FORWARD_PATH,
+    REFUSAL_HEADER,
+    SECRET_HEADER,
+    decode_refusal,
+    encode_call,
+)
+from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from baobabwharf_daemon.gateway.records import RequestRecord
+from baobabwharf_daemon.metrics import FORWARDED
+from baobabwharf_daemon.task import Task
+
+# The serving VM answers at the deadline; its refusal must still arrive.
+_GRACE_MS = 1000
+_MS_PER_S = 1000
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
+
+class Forwarder(Task):
+    """Hold the connections to the forward listeners of other VMs."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        region: RegionId,
+        secret: str,
+        tls_context: ssl.SSLContext | None,
+    ) -> None:
+        self._vm_id = vm_id
+        self._region = region
+        self._secret = secret
+        self._tls_context = tls_context
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        context = self._tls_context
+        self._session = new_session(True if context is None else context)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def forward(
+        self,
+        call: Call,
+        choice: RegionChoice,
+        sink: Sink,
+        record: RequestRecord,
+        progress: Progress,
+    ) -> Result[None, Refusal]:
+        """Pass the whole answer to the sink or return a refusal."""
+        check_invariant(call.facts.hop == 0, 'A call is forwarded twice.')
+        FORWARDED.inc({'region': choice.region})
+        record.note(f'Forwarded to VM {choice.vm_id}: {choice.reason}')
+        progress.sent = True
+        sent = await self._send(call, choice)
+        if sent.is_error():
+            progress.sent = sent.error.executed is Executed.UNKNOWN
+            return Error(sent.error)
+        response = sent.ok
+        try:
+            return await _Reply(call, response, sink, progress).receive(record)
+        finally:
+            response.close()
+
+    async def _send(
+        self, call: Call, choice: RegionChoice
+    ) -> Result[aiohttp.ClientResponse, Refusal]:
+        assert self._session is not None
+        scheme = 'https' if self._tls_context else 'http'
+        url = f'{scheme}://{choice.forward_address}{FORWARD_PATH}'
+        try:
+            response = await self._session.post(
+                url,
+                data=encode_call(self._marked(call)),
+                headers={
+                    SECRET_HEADER: self._secret,
+                    REQUEST_ID_HEADER: call.facts.request_id,
+                },
+                timeout=aiohttp.ClientTimeout(
+                    sock_connect=CONNECT_TIMEOUT_S,
+                    sock_read=(call.facts.deadline_ms + _GRACE_MS) / _MS_PER_S,
+                ),
+            )
+        except _NOT_SENT as fault:
+            return _unreachable(Executed.NO, fault)
+        except UPSTREAM_FAULTS as fault:
+            return _unreachable(Executed.UNKNOWN, fault)
+        return Ok(response)
+
+    def _marked(self, call: Call) -> Call:
+        facts = msgspec.structs.replace(
+            call.facts,
+            hop=1,
+            origin_vm=self._vm_id,
+            origin_region=self._region,
+        )
+        return msgspec.structs.replace(call, facts=facts)
+
+
+class _Reply:
+    def __init__(
+        self,
+        call: Call,
+        response: aiohttp.ClientResponse,
+        sink: Sink,
+        progress: Progress,
+    ) -> None:
+        self._call = call
+        self._response = response
+        self._sink = sink
+        self._progress = progress
+
+    async def receive(self, record: RequestRecord) -> Result[None, Refusal]:
+        headers = self._response.headers
+        refused = headers.get(REFUSAL_HEADER)
+        if refused is not None:
+            return self._refused(refused)
+        if headers.get(REQUEST_ID_HEADER) != self._call.facts.request_id:
+            return _broken(RefusalCode.ANSWER_MISMATCH, '')
+        if self._call.completion and is_event_stream(self._response):
+            return await self._stream(record)
+        return await self._whole()
+
+    def _refused(self, header: str) -> Result[None, Refusal]:
+        refusal = decode_refusal(header)
+        if refusal is None:
+            return _broken(RefusalCode.REGION_UNREACHABLE, 'Bad refusal.')
+        self._progress.sent = refusal.executed is Executed.UNKNOWN
+        return Error(refusal)
+
+    async def _stream(self, record: RequestRecord) -> Result[None, Refusal]:
+        await self._sink.begin(self._response.status, self._headers())
+        record.step('first_token')
+        events = EventStream(self._call.facts.request_id)
+        relayed = await relay_events(
+            self._response, events, self._sink, self._progress
+        )
+        if events.usage is not None:
+            self._progress.prompt_tokens = events.usage.prompt_tokens
+        if not relayed.complete:
+            return _broken(RefusalCode.STREAM_BROKEN, relayed.detail)
+        await self._sink.end()
+        self._progress.complete = True
+        return Ok(None)
+
+    async def _whole(self) -> Result[None, Refusal]:
+        try:
+            body = await read_body(self._response)
+        except UPSTREAM_FAULTS as fault:
+            return _broken(RefusalCode.REGION_UNREACHABLE, type(fault).__name__)
+        headers = self._headers()
+        if not body.complete:
+            relayed = await relay_large(
+                self._response, body.content, headers, self._sink
+            )
+            self._progress.complete = relayed.complete
+            return (
+                Ok(None)
+                if relayed.complete
+                else _broken(RefusalCode.STREAM_BROKEN, relayed.detail)
+            )
+        self._count(body.content)
+        await self._sink.answer(self._response.status, headers, body.content)
+        self._progress.complete = True
+        return Ok(None)
+
+    def _count(self, body: bytes) -> None:
+        if self._call.completion:
+            usage = read_whole(body, '')
+            assert usage is not None
+            self._progress.tokens = usage.completion_tokens
+            self._progress.prompt_tokens = usage.prompt_tokens
+
+    def _headers(self) -> dict[str, str]:
+        headers = answer_headers(self._response.headers)
+        headers[REQUEST_ID_HEADER] = self._call.facts.request_id
+        return headers
+
+
+def _unreachable(
+    executed: Executed, fault: BaseException
+) -> Result[aiohttp.ClientResponse, Refusal]:
+    code = RefusalCode.REGION_UNREACHABLE
+    if executed is Executed.UNKNOWN and isinstance(fault, asyncio.TimeoutError):
+        code = RefusalCode.ENDPOINT_TIMEOUT
+    return Error(Refusal(code, executed, detail=type(fault).__name__))
+
+
+def _broken(code: RefusalCode, detail: str) -> Result[None, Refusal]:
+    return Error(Refusal(code, Executed.UNKNOWN, detail=detail))
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/listener.py
@@ -0,0 +1,121 @@
+"""Take calls that other VMs forward to this region."""
+
+import hmac
+
+from baobabwharf_core.ids import RegionId
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_core.requests import RequestFacts
+from sanic import HTTPResponse, Request, Sanic
+
+from baobabwharf_daemon.forwarding.serving import Serving
+from baobabwharf_daemon.forwarding.wire import (
+    FORWARD_PATH,
+    REFUSAL_HEADER,
+    SECRET_HEADER,
+    decode_call,
+    encode_refusal,
+)
+from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from baobabwharf_daemon.gateway.drain import Drain
+from baobabwharf_daemon.gateway.errors import (
+    count_refusal,
+    error_body,
+    error_event,
+    error_headers,
+)
+from baobabwharf_daemon.gateway.records import RequestRecords
+from baobabwharf_daemon.gateway.running import Running, RunningRequests
+from baobabwharf_daemon.gateway.sink import SanicSink
+from baobabwharf_daemon.gateway.tasks import this_task
+
+_UNAUTHORIZED = 401
+
+
+class ForwardRoutes:
+    """Serve or refuse forwarded calls; never forward them again."""
+
+    def __init__(
+        self,
+        region: RegionId,
+        secret: str,
+        serving: Serving,
+        records: RequestRecords,
+        running: RunningRequests,
+        drain: Drain,
+    ) -> None:
+        self._region = region
+        self._secret = secret.encode()
+        self._serving = serving
+        self._records = records
+        self._running = running
+        self._drain = drain
+
+    def add_to(self, app: Sanic) -> None:
+        """Add the route to the forward listener."""
+        app.add_route(self._take, FORWARD_PATH, methods=['POST'])
+
+    async def _take(self, request: Request) -> HTTPResponse | None:
+        secret = request.headers.get(SECRET_HEADER, '').encode()
+        if not hmac.compare_digest(secret, self._secret):
+            return HTTPResponse(status=_UNAUTHORIZED)
+        sink = SanicSink(request)
+        decoded = decode_call(request.body)
+        if decoded.is_error():
+            refusal = Refusal(RefusalCode.INVALID_REQUEST, detail=decoded.error)
+            await _refuse(refusal, sink, '', streaming=False)
+            return None
+        await self._run(decoded.ok, sink)
+        return None
+
+    async def _run(self, call: Call, sink: Sink) -> None:
+        running = Running(b'', this_task())
+        self._running.add(running)
+        try:
+            await self._serve(call, sink)
+        finally:
+            self._running.remove(running)
+
+    async def _serve(self, call: Call, sink: Sink) -> None:
+        facts = call.facts
+        refusal = self._refusal(facts)
+        if refusal is None:
+            record = self._records.open(facts.request_id)
+            record.note(f'Forwarded by VM {facts.origin_vm}.')
+            for event in ('authenticate', 'reserve', 'queue'):
+                record.step(event)
+            outcome = await self._serving.serve(call, sink, record, Progress())
+            if outcome.is_ok():
+                record.end('answered')
+                return
+            refusal = outcome.error
+            record.end('fail' if sink.began else 'refuse')
+        await _refuse(
+            refusal, sink, facts.request_id, streaming=facts.streaming
+        )
+
+    def _refusal(self, facts: RequestFacts) -> Refusal | None:
+        if self._drain.stopping:
+            return Refusal(RefusalCode.VM_STOPPING)
+        if facts.hop != 1:
+            return Refusal(RefusalCode.HOP_LIMIT)
+        if facts.residency and self._region not in facts.residency:
+            return Refusal(RefusalCode.RESIDENCY_CONFLICT)
+        return None
+
+
+async def _refuse(
+    refusal: Refusal, sink: Sink, request_id: str, *, streaming: bool
+) -> None:
+    count_refusal(refusal)
+    if not sink.began:
+        headers = error_headers(refusal, request_id)
+        headers[REFUSAL_HEADER] = encode_refusal(refusal)
+        await sink.answer(
+            refusal.status, headers, error_body(refusal, request_id)
+        )
+        return
+    if streaming:
+        await sink.write(error_event(refusal, request_id))
+        await sink.end()
+        return
+    sink.abort()
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and endpoints over HTTP."""
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/auth.py
@@ -0,0 +1,102 @@
+"""Find the customer whose key came with a request."""
+
+import hashlib
+import hmac
+
+import msgspec
+from baobabwharf_core.model import Customer, FleetConfig
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.interfaces import ConfigSource
+
+_SCHEME = 'bearer '
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """Name an authenticated customer; the key itself is for scrubbing."""
+
+    customer: Customer
+    digest: bytes
+    key: bytes
+
+
+def bearer_key(authorization: str | None) -> bytes | None:
+    """Return the key of an Authorization header."""
+    if authorization is None:
+        return None
+    if authorization[: len(_SCHEME)].lower() != _SCHEME:
+        return None
+    key = authorization[len(_SCHEME) :].strip()
+    return key.encode('utf-8', 'surrogateescape') or None
+
+
+def digest_of(key: bytes) -> bytes:
+    """Return the digest by which a key is stored."""
+    return hashlib.sha256(key).digest()
+
+
+class KeyIndex:
+    """Look keys up by digest in the configuration in force."""
+
+    def __init__(self, source: ConfigSource) -> None:
+        self._source = source
+        self._config: FleetConfig | None = None
+        self._keys: dict[bytes, tuple[bytes, Customer, bool]] = {}
+        self._endpoint_keys: dict[bytes, tuple[bytes, str]] = {}
+
+    def authenticate(
+        self, authorization: str | None
+    ) -> Result[Caller, Refusal]:
+        """Return the caller or the reason why the key does not count."""
+        key = bearer_key(authorization)
+        if key is None:
+            return Error(Refusal(RefusalCode.KEY_MISSING))
+        digest = digest_of(key)
+        refusal = self.refusal_of(digest)
+        if refusal is not None:
+            return Error(refusal)
+        return Ok(Caller(self._keys[digest][1], digest, key))
+
+    def refusal_of(self, digest: bytes) -> Refusal | None:
+        """Return why a key does not count now, or None."""
+        self._refresh()
+        found = self._keys.get(digest)
+        if found is None or not hmac.compare_digest(found[0], digest):
+            return Refusal(RefusalCode.KEY_UNKNOWN)
+        if found[2] or self._source.is_withdrawn(digest):
+            return Refusal(RefusalCode.KEY_WITHDRAWN)
+        return None
+
+    def endpoint_service(self, authorization: str | None) -> str | None:
+        """Return the service that an endpoint key may announce."""
+        key = bearer_key(authorization)
+        if key is None:
+            return None
+        self._refresh()
+        digest = digest_of(key)
+        found = self._endpoint_keys.get(digest)
+        if found is None or not hmac.compare_digest(found[0], digest):
+            return None
+        return None if self._source.is_withdrawn(digest) else found[1]
+
+    def _refresh(self) -> None:
+        config = self._source.config
+        if config is self._config:
+            return
+        customers = config.customers
+        self._keys = {
+            record.digest: (
+                record.digest,
+                customers[record.customer_id],
+                record.withdrawn,
+            )
+            for record in config.keys.values()
+            if record.customer_id in customers
+        }
+        self._endpoint_keys = {
+            record.digest: (record.digest, record.service)
+            for record in config.endpoint_keys.values()
+            if not record.withdrawn
+        }
+        self._config = config
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/bookings.py
@@ -0,0 +1,196 @@
+"""Run calls that may not be repeated at most once."""
+
+import asyncio
+import hashlib
+from collections.abc import Mapping
+from typing import final
+
+from baobabwharf_core.ids import VmId
+from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from baobabwharf_daemon.gateway.pipeline import Pipeline
+from baobabwharf_daemon.gateway.records import RequestRecord
+from baobabwharf_daemon.interfaces import ClaimClient, ClaimState
+from baobabwharf_daemon.log import get_logger
+
+_LOG = get_logger('gateway')
+_Task = asyncio.Task[Result[None, Refusal]]
+
+REPLAY_HEADER = 'Idempotent-Replay'
+MAX_KEY_CHARS = 255
+# Larger answers are not kept; a resend then learns that the outcome is
+# unknown instead of getting a cut answer.
+MAX_KEPT_BYTES = 256 * 1024
+_RUNNING_RETRY_MS = 500
+_FINISH_ATTEMPTS = 3
+_FINISH_BACKOFF_S = 0.2
+
+
+@final
+class _KeptAnswer(Sink):
+    """Hold the answer until its claim is finished."""
+
+    def __init__(self, sink: Sink) -> None:
+        self._sink = sink
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b''
+
+    @property
+    def began(self) -> bool:
+        return self._sink.began
+
+    async def begin(self, status: int, headers: Mapping[str, str]) -> None:
+        self.status = status
+        await self._sink.begin(status, headers)
+
+    async def write(self, chunk: bytes) -> None:
+        await self._sink.write(chunk)
+
+    async def end(self) -> None:
+        await self._sink.end()
+
+    async def answer(
+        self, status: int, headers: Mapping[str, str], body: bytes
+    ) -> None:
+        self.status = status
+        self.headers = dict(headers)
+        self.body = body
+
+    def abort(self) -> None:
+        self._sink.abort()
+
+    def close_after_answer(self) -> None:
+        self._sink.close_after_answer()
+
+
+class Bookings:
+    """Claim idempotency keys around calls that may not be repeated."""
+
+    def __init__(
+        self, vm_id: VmId, pipeline: Pipeline, claims: ClaimClient
+    ) -> None:
+        self._vm_id = vm_id
+        self._pipeline = pipeline
+        self._claims = claims
+        self._tasks: set[_Task] = set()
+
+    async def run(
+        self,
+        call: Call,
+        idempotency_key: str | None,
+        sink: Sink,
+        record: RequestRecord,
+    ) -> Result[None, Refusal]:
+        """Run the call to its end even if the caller goes away."""
+        if idempotency_key is None:
+            work = self._pipeline.run(call, sink, record, Progress())
+        elif 0 < len(idempotency_key) <= MAX_KEY_CHARS:
+            work = self._claimed(call, idempotency_key, sink, record)
+        else:
+            return Error(
+                Refusal(
+                    RefusalCode.INVALID_REQUEST,
+                    detail=f'Idempotency-Key has 1 to {MAX_KEY_CHARS} chars.',
+                )
+            )
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+        return await asyncio.shield(task)
+
+    async def wait_idle(self) -> None:
+        """Wait until no booking runs any more."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    def _forget(self, task: _Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.info(
+                'A booking ended without its caller: %r', task.exception()
+            )
+
+    async def _claimed(
+        self, call: Call, key: str, sink: Sink, record: RequestRecord
+    ) -> Result[None, Refusal]:
+        facts = call.facts
+        begun = await self._claims.begin(
+            facts.customer_id, key, call_digest(call), facts.request_id
+        )
+        if begun.is_error():
+            return Error(begun.error)
+        if not begun.ok.granted:
+            return await _earlier(begun.ok, sink, facts.request_id)
+        kept = _KeptAnswer(sink)
+        progress = Progress()
+        outcome = await self._pipeline.run(call, kept, record, progress)
+        answer = self._final_state(outcome, kept, progress)
+        await self._finish(call, key, answer)
+        if outcome.is_ok() and not sink.began:
+            await sink.answer(kept.status, kept.headers, kept.body)
+        return outcome
+
+    def _final_state(
+        self,
+        outcome: Result[None, Refusal],
+        kept: _KeptAnswer,
+        progress: Progress,
+    ) -> ClaimState:
+        whole = outcome.is_ok() and not kept.began
+        if whole and len(kept.body) <= MAX_KEPT_BYTES:
+            return ClaimState(
+                state='finished',
+                granted=False,
+                owner=self._vm_id,
+                status=kept.status,
+                content_type=kept.headers.get('Content-Type', ''),
+                body=kept.body,
+            )
+        not_run = outcome.is_error() and not progress.sent
+        return ClaimState(
+            state='absent' if not_run else 'unknown',
+            granted=False,
+            owner=self._vm_id,
+        )
+
+    async def _finish(self, call: Call, key: str, answer: ClaimState) -> None:
+        facts = call.facts
+        for attempt in range(1, _FINISH_ATTEMPTS + 1):
+            if await self._claims.finish(
+                facts.customer_id, key, facts.request_id, answer
+            ):
+                return
+            await asyncio.sleep(_FINISH_BACKOFF_S * attempt)
+
+
+def call_digest(call: Call) -> bytes:
+    """Return the digest that tells whether a resend is the same call."""
+    digest = hashlib.sha256()
+    for part in (call.facts.service, call.method, call.path, call.query):
+        digest.update(part.encode('utf-8', 'surrogateescape'))
+        digest.update(b'\0')
+    digest.update(call.body)
+    return digest.digest()
+
+
+async def _earlier(
+    claim: ClaimState, sink: Sink, request_id: str
+) -> Result[None, Refusal]:
+    if claim.state == 'finished':
+        headers = {REPLAY_HEADER: 'true', 'X-Request-Id': request_id}
+        if claim.content_type:
+            headers['Content-Type'] = claim.content_type
+        await sink.answer(claim.status, headers, claim.body)
+        return Ok(None)
+    if claim.state == 'running':
+        return Error(
+            Refusal(
+                RefusalCode.CLAIM_RUNNING,
+                Executed.UNKNOWN,
+                retry_after_ms=_RUNNING_RETRY_MS,
+            )
+        )
+    return Error(Refusal(RefusalCode.CLAIM_UNKNOWN, Executed.UNKNOWN))
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/certificates.py
@@ -0,0 +1,85 @@
+"""Build TLS contexts of the HTTP side and reload their certificates."""
+
+import asyncio
+import ssl
+from pathlib import Path
+
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.settings import Tls
+
+RELOAD_INTERVAL_S = 2
+_LOG = get_logger('gateway')
+
+
+def caller_context(tls: Tls) -> ssl.SSLContext:
+    """Return the context of a listener for callers or operators."""
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
+
+
+def forward_server_context(tls: Tls) -> ssl.SSLContext:
+    """Return the context of a listener that demands a VM certificate."""
+    context = ssl.create_default_context(
+        ssl.Purpose.CLIENT_AUTH, cafile=str(tls.ca_file)
+    )
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def forward_client_context(tls: Tls) -> ssl.SSLContext:
+    """Return the context that shows the certificate of this VM."""
+    context = ssl.create_default_context(
+        ssl.Purpose.SERVER_AUTH, cafile=str(tls.ca_file)
+    )
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
+
+
+class CertificateReloader:
+    """Load changed certificate files into the contexts in use."""
+
+    def __init__(self, tls: Tls, contexts: tuple[ssl.SSLContext, ...]) -> None:
+        self._tls = tls
+        self._contexts = contexts
+        self._loaded = self._marks()
+
+    async def watch(self) -> None:
+        """Reload until cancelled."""
+        while True:
+            await asyncio.sleep(RELOAD_INTERVAL_S)
+            self.reload_if_changed()
+
+    def reload_if_changed(self) -> bool:
+        """Load changed files; faulty ones leave the old ones in use."""
+        marks = self._marks()
+        if marks == self._loaded:
+            return False
+        try:
+            # A probe first: a half-written pair must not reach a context.
+            ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(
+                self._tls.certificate_file, self._tls.key_file
+            )
+        except (ssl.SSLError, OSError) as fault:
+            _LOG.warning('The new certificate cannot be loaded: %s', fault)
+            return False
+        for context in self._contexts:
+            context.load_cert_chain(
+                self._tls.certificate_file, self._tls.key_file
+            )
+        self._loaded = marks
+        _LOG.info('The certificate was reloaded.')
+        return True
+
+    def _marks(self) -> tuple[tuple[int, int], ...]:
+        files = (self._tls.certificate_file, self._tls.key_file)
+        return tuple(_mark(path) for path in files)
+
+
+def _mark(path: Path) -> tuple[int, int]:
+    try:
+        state = path.stat()
+    except OSError:
+        return 0, 0
+    return state.st_mtime_ns, state.st_ino
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
@@ -0,0 +1,105 @@
+"""Turn completion requests into calls."""
+
+from baobabwharf_core.ids import ModelId, WorkClass
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_core.requests import RequestFacts
+from expression import Error, Ok, Result
+from sanic import Request
+
+from baobabwharf_daemon.gateway.auth import Caller
+from baobabwharf_daemon.gateway.calls import Call
+from baobabwharf_daemon.gateway.facts import (
+    Demands,
+    RequestIds,
+    RouteIndex,
+    choose_target,
+    completion_facts,
+    narrow_residency,
+)
+from baobabwharf_daemon.gateway.parse import ParsedBody, parse_body
+from baobabwharf_daemon.gateway.scrub import scrub_json
+from baobabwharf_daemon.interfaces import ConfigSource, ModelCatalog
+
+_DEFAULT_CLASS = WorkClass('interactive')
+_HEADERS = (
+    ('Content-Type', 'application/json'),
+    ('Accept', 'application/json, text/event-stream'),
+)
+
+
+class CompletionCalls:
+    """Validate completion requests."""
+
+    def __init__(
+        self,
+        source: ConfigSource,
+        catalog: ModelCatalog,
+        routes: RouteIndex,
+        request_ids: RequestIds,
+    ) -> None:
+        self._source = source
+        self._catalog = catalog
+        self._routes = routes
+        self._request_ids = request_ids
+
+    def build(
+        self, request: Request, path: str, body: bytes, caller: Caller
+    ) -> Result[Call, Refusal]:
+        """Return the call of a valid request."""
+        checked = parse_body(path, scrub_json(body, caller.key))
+        if checked.is_error():
+            return Error(checked.error)
+        parsed = checked.ok
+        facts = self._facts(request, path, parsed, caller)
+        if facts.is_error():
+            return Error(facts.error)
+        return Ok(
+            Call(
+                facts=facts.ok,
+                method='POST',
+                path=path,
+                query='',
+                headers=_HEADERS,
+                body=parsed.body,
+                completion=True,
+                choices=parsed.choices,
+            )
+        )
+
+    def _facts(
+        self, request: Request, path: str, parsed: ParsedBody, caller: Caller
+    ) -> Result[RequestFacts, Refusal]:
+        service = self._catalog.models().get(ModelId(parsed.model))
+        if service is None:
+            return Error(Refusal(RefusalCode.MODEL_UNKNOWN))
+        config = self._source.config
+        rule = self._routes.find(config, service, path)
+        demands = read_demands(request)
+        target = choose_target(
+            config, demands, rule.work_class if rule else _DEFAULT_CLASS
+        )
+        if target.is_error():
+            return Error(target.error)
+        residency = narrow_residency(
+            caller.customer.residency, demands.residency
+        )
+        if residency.is_error():
+            return Error(residency.error)
+        return Ok(
+            completion_facts(
+                self._request_ids.next_id(),
+                caller.customer,
+                service,
+                target.ok,
+                residency.ok,
+                parsed,
+            )
+        )
+
+
+def read_demands(request: Request) -> Demands:
+    """Return the headers by which a caller narrows its request."""
+    return Demands(
+        request.headers.get('x-work-class'),
+        request.headers.get('x-residency'),
+    )
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/drain.py
@@ -0,0 +1,79 @@
+"""Stop gracefully: refuse new work and finish what runs."""
+
+import asyncio
+from typing import Protocol
+
+from baobabwharf_core.statechart import load_chart
+
+from baobabwharf_daemon.interfaces import MembershipView
+
+_CHART = load_chart('drain')
+_MS_PER_S = 1000
+
+
+class Work(Protocol):
+    """Tell when no work runs any more."""
+
+    async def wait_idle(self) -> None:
+        """Wait until no work runs."""
+
+
+class Drain:
+    """Step through the drain chart."""
+
+    def __init__(
+        self,
+        membership: MembershipView,
+        running: tuple[Work, ...],
+        deadline_ms: int,
+    ) -> None:
+        self._membership = membership
+        self._running = running
+        self._deadline_s = deadline_ms / _MS_PER_S
+        self._state = _CHART.initial
+        self._requested = asyncio.Event()
+        self._again = asyncio.Event()
+
+    @property
+    def state(self) -> str:
+        """Return the state of the chart."""
+        return self._state
+
+    @property
+    def stopping(self) -> bool:
+        """Tell whether new work is refused."""
+        return self._state != _CHART.initial
+
+    def request_stop(self) -> None:
+        """Begin the drain; a second request ends it."""
+        if self._requested.is_set():
+            self._again.set()
+            return
+        self._step('stop_requested')
+        self._requested.set()
+        self._membership.announce_leaving()
+
+    async def wait(self) -> None:
+        """Wait until running work is finished or must be given up."""
+        await self._requested.wait()
+        idle = [asyncio.ensure_future(one.wait_idle()) for one in self._running]
+        finished = asyncio.gather(*idle)
+        again = asyncio.ensure_future(self._again.wait())
+        done, _pending = await asyncio.wait(
+            (finished, again),
+            timeout=self._deadline_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if finished in done:
+            self._step('work_finished')
+        else:
+            self._step('stop_requested' if again in done else 'deadline_passed')
+        finished.cancel()
+        again.cancel()
+
+    def released(self) -> None:
+        """Record that chunks, leases and leadership were given back."""
+        self._step('released')
+
+    def _step(self, event: str) -> None:
+        self._state = _CHART.step(self._state, event)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/facts.py
@@ -0,0 +1,164 @@
+"""Derive the facts of a request from its headers and the configuration."""
+
+import itertools
+import secrets
+
+import msgspec
+from baobabwharf_core.ids import (
+    CustomerId,
+    ModelId,
+    RegionId,
+    RequestId,
+    ServiceId,
+    WorkClass,
+)
+from baobabwharf_core.model import Customer, FleetConfig, RouteRule, Target
+from baobabwharf_core.prefix import prefix_hashes
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_core.requests import RequestFacts
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.gateway.parse import ParsedBody, body_tokens
+
+# Callers of open routes share one place in admission and pay no tokens.
+OPEN_CUSTOMER = CustomerId('')
+# Used while no target is set for the class of a route rule.
+_DEFAULT_TARGET = Target(WorkClass('interactive'), 5000, 60_000)
+_RANDOM_BYTES = 6
+
+
+class RequestIds:
+    """Make request ids that are unique over VMs and restarts."""
+
+    def __init__(self) -> None:
+        self._prefix = secrets.token_hex(_RANDOM_BYTES)
+        self._counter = itertools.count(1)
+
+    def next_id(self) -> RequestId:
+        """Return a new request id."""
+        return RequestId(f'{self._prefix}{next(self._counter):08x}')
+
+
+class RouteIndex:
+    """Find the route rule of a service call by its longest prefix."""
+
+    def __init__(self) -> None:
+        self._config: FleetConfig | None = None
+        self._rules: dict[str, list[RouteRule]] = {}
+
+    def find(
+        self, config: FleetConfig, service: str, path: str
+    ) -> RouteRule | None:
+        """Return the rule of a call or None if the service is unknown."""
+        if config is not self._config:
+            self._build(config)
+        for rule in self._rules.get(service, ()):
+            if _below(path, rule.path_prefix):
+                return rule
+        return None
+
+    def _build(self, config: FleetConfig) -> None:
+        self._rules = {}
+        for rule in config.routes.values():
+            self._rules.setdefault(rule.service, []).append(rule)
+        for rules in self._rules.values():
+            rules.sort(key=_prefix_length, reverse=True)
+        self._config = config
+
+
+class Demands(msgspec.Struct, frozen=True):
+    """Hold the headers by which a caller narrows its request."""
+
+    work_class: str | None = None
+    residency: str | None = None
+
+
+def choose_target(
+    config: FleetConfig, demands: Demands, rule_class: WorkClass
+) -> Result[Target, Refusal]:
+    """Return the target of the class that was asked for."""
+    asked = demands.work_class
+    if asked is not None:
+        target = config.targets.get(WorkClass(asked))
+        if target is None:
+            return Error(Refusal(RefusalCode.WORK_CLASS_UNKNOWN))
+        return Ok(target)
+    target = config.targets.get(rule_class)
+    if target is None:
+        target = msgspec.structs.replace(_DEFAULT_TARGET, work_class=rule_class)
+    return Ok(target)
+
+
+def narrow_residency(
+    allowed: tuple[RegionId, ...], asked: str | None
+) -> Result[tuple[RegionId, ...], Refusal]:
+    """Return the regions that both the customer and the caller allow."""
+    if asked is None:
+        return Ok(allowed)
+    named = [part.strip() for part in asked.split(',')]
+    regions = tuple(RegionId(name) for name in named if name)
+    if allowed:
+        regions = tuple(name for name in regions if name in allowed)
+    if not regions:
+        return Error(Refusal(RefusalCode.RESIDENCY_CONFLICT))
+    return Ok(regions)
+
+
+def completion_facts(
+    request_id: RequestId,
+    customer: Customer,
+    service: ServiceId,
+    target: Target,
+    residency: tuple[RegionId, ...],
+    parsed: ParsedBody,
+) -> RequestFacts:
+    """Return the facts of a completion request."""
+    return RequestFacts(
+        request_id=request_id,
+        customer_id=customer.customer_id,
+        service=service,
+        work_class=target.work_class,
+        residency=residency,
+        deadline_ms=target.complete_ms,
+        first_token_ms=target.first_token_ms,
+        model=ModelId(parsed.model),
+        prompt_tokens=parsed.prompt_tokens,
+        max_output_tokens=parsed.max_output_tokens,
+        body_bytes=len(parsed.body),
+        prefix_hashes=prefix_hashes(parsed.prompt),
+        streaming=parsed.streaming,
+    )
+
+
+def service_facts(
+    request_id: RequestId,
+    customer_id: CustomerId,
+    rule: RouteRule,
+    target: Target,
+    residency: tuple[RegionId, ...],
+    body: bytes,
+) -> RequestFacts:
+    """Return the facts of a call of a plain service."""
+    return RequestFacts(
+        request_id=request_id,
+        customer_id=customer_id,
+        service=rule.service,
+        work_class=target.work_class,
+        residency=residency,
+        deadline_ms=target.complete_ms,
+        first_token_ms=target.first_token_ms,
+        prompt_tokens=body_tokens(body),
+        body_bytes=len(body),
+        repeatable=rule.repeatable,
+    )
+
+
+def _prefix_length(rule: RouteRule) -> int:
+    return len(rule.path_prefix)
+
+
+def _below(path: str, prefix: str) -> bool:
+    if not path.startswith(prefix):
+        return False
+    rest = path[len(prefix) :]
+    return prefix.endswith('/') or not rest or rest[0] == '/'
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
@@ -0,0 +1,159 @@
+"""Serve a sanic application inside this process."""
+
+import asyncio
+import itertools
+import ssl
+from typing import Any
+
+from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+from sanic import HTTPResponse, Request, Sanic
+from sanic.exceptions import SanicException
+from sanic.handlers import ErrorHandler
+
+from baobabwharf_daemon.gateway.errors import (
+    count_refusal,
+    error_body,
+    error_headers,
+)
+from baobabwharf_daemon.log import get_logger
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+HEADER_TIMEOUT_S = 10
+KEEP_ALIVE_S = 75
+# Answers may be silent while a batch request waits; the deadline of the
+# request ends them, not this bound.
+ANSWER_TIMEOUT_S = 24 * 3600
+SWEEP_INTERVAL_S = 1
+_BACKLOG = 1024
+_TOO_LARGE = 413
+_SERVER_ERROR = 500
+_NOT_FOUND = 404
+
+_LOG = get_logger('gateway')
+_numbers = itertools.count(1)
+
+
+class _Errors(ErrorHandler):
+    """Answer faults of the HTTP layer with an error object."""
+
+    def default(self, request: Request, exception: Exception) -> HTTPResponse:
+        refusal = _refusal_of(exception)
+        status = _status_of(exception, refusal)
+        count_refusal(refusal)
+        if status >= _SERVER_ERROR:
+            _LOG.error('A handler failed: %r', exception, exc_info=exception)
+        response = HTTPResponse(
+            error_body(refusal, ''),
+            status=status,
+            headers=error_headers(refusal, ''),
+            content_type='application/json',
+        )
+        stream: Any = getattr(request, 'stream', None)
+        if stream is not None:
+            stream.keep_alive = False
+        return response
+
+
+def _refusal_of(exception: Exception) -> Refusal:
+    status = getattr(exception, 'status_code', _SERVER_ERROR)
+    if status == _TOO_LARGE:
+        return Refusal(RefusalCode.REQUEST_TOO_LARGE)
+    if status < _SERVER_ERROR:
+        return Refusal(RefusalCode.INVALID_REQUEST, detail=str(exception))
+    return Refusal(RefusalCode.ENDPOINT_FAILED, Executed.UNKNOWN)
+
+
+def _status_of(exception: Exception, refusal: Refusal) -> int:
+    if isinstance(exception, SanicException):
+        return exception.status_code
+    return _SERVER_ERROR if refusal.status >= _SERVER_ERROR else refusal.status
+
+
+def new_app(part: str) -> Sanic:
+    """Return an application without the workers and the log of sanic."""
+    app = Sanic(
+        f'{part}-{next(_numbers)}',
+        configure_logging=False,
+        error_handler=_Errors(),
+    )
+    app.config.ACCESS_LOG = False
+    app.config.REQUEST_MAX_SIZE = MAX_BODY_BYTES
+    app.config.REQUEST_MAX_HEADER_SIZE = MAX_HEADER_BYTES
+    app.config.REQUEST_TIMEOUT = HEADER_TIMEOUT_S
+    app.config.RESPONSE_TIMEOUT = ANSWER_TIMEOUT_S
+    app.config.KEEP_ALIVE_TIMEOUT = KEEP_ALIVE_S
+    app.config.MOTD = False
+    return app
+
+
+class HttpServer:
+    """Own one HTTP listener."""
+
+    def __init__(
+        self,
+        app: Sanic,
+        host: str,
+        port: int,
+        context: ssl.SSLContext | None,
+    ) -> None:
+        self._app = app
+        self._address = (host, port)
+        self._context = context
+        self._server: Any = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = self._address
+        # sanic rewrites its classes at the first start in a process and fails
+        # to do so again.
+        self._app.config.TOUCHUP = not getattr(Sanic, '__touched__', False)
+        self._server = await self._app.create_server(
+            host=host,
+            port=port,
+            ssl=self._context,
+            return_asyncio_server=True,
+            backlog=_BACKLOG,
+            asyncio_server_kwargs={'reuse_address': True},
+        )
+        assert self._server is not None
+        await self._server.startup()
+        await self._server.before_start()
+        await self._server.after_start()
+        self._sweeper = asyncio.ensure_future(self._sweep())
+
+    async def stop(self) -> None:
+        """Stop listening, then close idle connections and the rest."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is None:
+            return
+        self._server.close()
+        connections = list(self._server.connections)
+        for connection in connections:
+            connection.close_if_idle()
+        await asyncio.sleep(0)
+        for connection in list(self._server.connections):
+            connection.close()
+        await self._server.wait_closed()
+
+    async def _sweep(self) -> None:
+        """Close connections that send their headers too slowly."""
+        since: dict[Any, float] = {}
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            slow = set(filter(_reads_headers, self._server.connections))
+            since = {
+                connection: since.get(connection, loop.time())
+                for connection in slow
+            }
+            for connection, start in since.items():
+                if loop.time() - start > HEADER_TIMEOUT_S:
+                    connection.abort()
+
+
+def _reads_headers(connection: Any) -> bool:
+    http = connection.http
+    return http is not None and http.stage.name == 'REQUEST'
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
@@ -0,0 +1,214 @@
+"""Check the bodies of completion requests.
+
+A token is estimated as four bytes of UTF-8 text, rounded up, plus four tokens
+for each message.  A plain service call costs one token for each started four
+bytes of its body, at least one.
+"""
+
+from typing import Any
+
+import msgspec
+from baobabwharf_core.ids import ModelId
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from expression import Error, Ok, Result
+
+CHAT_PATH = '/v1/chat/completions'
+COMPLETIONS_PATH = '/v1/completions'
+
+BYTES_PER_TOKEN = 4
+TOKENS_PER_MESSAGE = 4
+# The published default of /v1/completions; chat has none of its own.
+DEFAULT_COMPLETION_TOKENS = 16
+DEFAULT_CHAT_TOKENS = 512
+MAX_OUTPUT_TOKENS = 32_768
+MAX_CHOICES = 16
+
+
+class Part(msgspec.Struct):
+    """Hold one part of a message; parts without text cost nothing."""
+
+    type: str = 'text'
+    text: str = ''
+
+
+class Message(msgspec.Struct):
+    """Hold what the gateway reads of a chat message."""
+
+    role: str
+    content: str | list[Part] | None = None
+
+
+class _Sampling(msgspec.Struct):
+    model: str
+    stream: bool | None = False
+    n: int | None = 1
+    max_tokens: int | None = None
+
+
+class ChatBody(_Sampling):
+    """Hold what the gateway reads of a chat completion request."""
+
+    messages: list[Message] = msgspec.field(default_factory=list)
+    max_completion_tokens: int | None = None
+
+
+class CompletionBody(_Sampling):
+    """Hold what the gateway reads of a completion request."""
+
+    prompt: str | list[str | int | list[int]] = ''
+    best_of: int | None = 1
+
+
+class ParsedBody(msgspec.Struct, frozen=True):
+    """Hold a checked request body; the body states its output bound."""
+
+    model: ModelId
+    prompt: str
+    prompt_tokens: int
+    max_output_tokens: int
+    choices: int
+    streaming: bool
+    body: bytes
+
+
+_chat_decoder = msgspec.json.Decoder(ChatBody)
+_completion_decoder = msgspec.json.Decoder(CompletionBody)
+
+
+def text_tokens(text: str) -> int:
+    """Return the estimated number of tokens of a text."""
+    return -(-len(text.encode('utf-8', 'surrogatepass')) // BYTES_PER_TOKEN)
+
+
+def body_tokens(body: bytes) -> int:
+    """Return the tokens that a plain service call costs."""
+    return max(1, -(-len(body) // BYTES_PER_TOKEN))
+
+
+def parse_body(path: str, body: bytes) -> Result[ParsedBody, Refusal]:
+    """Check a request body; any bytes give a value, never an exception."""
+    try:
+        if path == CHAT_PATH:
+            return _check_chat(body)
+        return _check_completion(body)
+    except (msgspec.DecodeError, UnicodeError) as fault:
+        return _invalid(_plain(fault))
+    except RecursionError:
+        return _invalid('The JSON is nested too deeply.')
+
+
+def _check_chat(body: bytes) -> Result[ParsedBody, Refusal]:
+    parsed = _chat_decoder.decode(body)
+    if not parsed.messages:
+        return _invalid('messages must not be empty.')
+    texts = [_message_text(message) for message in parsed.messages]
+    tokens = sum(map(text_tokens, texts)) + TOKENS_PER_MESSAGE * len(texts)
+    asked = [parsed.max_tokens, parsed.max_completion_tokens]
+    return _bounded(
+        parsed,
+        body,
+        prompt='\n'.join(texts),
+        prompt_tokens=tokens,
+        asked=[count for count in asked if count is not None],
+        default=DEFAULT_CHAT_TOKENS,
+    )
+
+
+def _check_completion(body: bytes) -> Result[ParsedBody, Refusal]:
+    parsed = _completion_decoder.decode(body)
+    if not parsed.prompt:
+        return _invalid('prompt must not be empty.')
+    if parsed.best_of not in {None, 1}:
+        return _invalid('best_of above 1 is not supported.')
+    prompt, tokens, count = _prompt_text(parsed.prompt)
+    if count > MAX_CHOICES:
+        return _invalid(f'prompt must hold at most {MAX_CHOICES} prompts.')
+    asked = [] if parsed.max_tokens is None else [parsed.max_tokens]
+    return _bounded(
+        parsed,
+        body,
+        prompt=prompt,
+        prompt_tokens=tokens,
+        asked=asked,
+        default=DEFAULT_COMPLETION_TOKENS,
+        prompts=count,
+    )
+
+
+def _bounded(
+    parsed: _Sampling,
+    body: bytes,
+    *,
+    prompt: str,
+    prompt_tokens: int,
+    asked: list[int],
+    default: int,
+    prompts: int = 1,
+) -> Result[ParsedBody, Refusal]:
+    choices = 1 if parsed.n is None else parsed.n
+    bound = max(asked, default=default)
+    if not parsed.model:
+        return _invalid('model must not be empty.')
+    if not 1 <= choices <= MAX_CHOICES:
+        return _invalid(f'n must be between 1 and {MAX_CHOICES}.')
+    if min(asked, default=1) < 1 or bound > MAX_OUTPUT_TOKENS:
+        return _invalid(
+            f'max_tokens must be between 1 and {MAX_OUTPUT_TOKENS}.'
+        )
+    return Ok(
+        ParsedBody(
+            model=ModelId(parsed.model),
+            prompt=prompt,
+            prompt_tokens=max(1, prompt_tokens),
+            max_output_tokens=bound * choices * prompts,
+            choices=choices * prompts,
+            streaming=bool(parsed.stream),
+            body=body if asked else _state_bound(body, default),
+        )
+    )
+
+
+def _state_bound(body: bytes, bound: int) -> bytes:
+    # The engine must not generate more than was reserved.
+    if b'max_tokens' not in body:
+        start = body.index(b'{') + 1
+        return b'%b"max_tokens":%d,%b' % (body[:start], bound, body[start:])
+    document: dict[str, Any] = msgspec.json.decode(body)
+    document['max_tokens'] = bound
+    return msgspec.json.encode(document)
+
+
+def _message_text(message: Message) -> str:
+    content = message.content
+    if content is None:
+        return ''
+    if isinstance(content, str):
+        return content
+    return ''.join(part.text for part in content)
+
+
+def _prompt_text(
+    prompt: str | list[str | int | list[int]],
+) -> tuple[str, int, int]:
+    if isinstance(prompt, str):
+        return prompt, text_tokens(prompt), 1
+    text = '\n'.join(part for part in prompt if isinstance(part, str))
+    numbers = sum(_token_count(part) for part in prompt)
+    count = sum(1 for part in prompt if not isinstance(part, int))
+    return text, text_tokens(text) + numbers, max(1, count)
+
+
+def _token_count(part: str | int | list[int]) -> int:
+    if isinstance(part, str):
+        return 0
+    return 1 if isinstance(part, int) else len(part)
+
+
+def _plain(fault: Exception) -> str:
+    if isinstance(fault, UnicodeError):
+        return 'The body is not valid UTF-8.'
+    return f'{fault}.'
+
+
+def _invalid(detail: str) -> Result[ParsedBody, Refusal]:
+    return Error(Refusal(RefusalCode.INVALID_REQUEST, detail=detail))
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/pipeline.py
@@ -0,0 +1,129 @@
+"""Take a call from validation to its settled end."""
+
+import asyncio
+
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_core.requests import RegionChoice, RequestFacts, Reservation
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.forwarding.forwarder import Forwarder
+from baobabwharf_daemon.forwarding.serving import Serving
+from baobabwharf_daemon.gateway.calls import (
+    Call,
+    Progress,
+    Sink,
+    spent_tokens,
+)
+from baobabwharf_daemon.gateway.facts import OPEN_CUSTOMER
+from baobabwharf_daemon.gateway.records import RequestRecord
+from baobabwharf_daemon.interfaces import LimitClient, Router
+
+MAX_REGION_CHOICES = 3
+_REGION_BACKOFF_S = 0.02
+# Refusals of a chosen VM after which another VM may serve.
+_OTHER_VM = frozenset(
+    (
+        RefusalCode.REGION_UNREACHABLE,
+        RefusalCode.VM_STOPPING,
+        RefusalCode.VM_NOT_READY,
+    )
+)
+
+
+class Pipeline:
+    """Choose the region, reserve tokens, serve or forward, and settle."""
+
+    def __init__(
+        self,
+        router: Router,
+        limits: LimitClient,
+        serving: Serving,
+        forwarder: Forwarder,
+    ) -> None:
+        self._router = router
+        self._limits = limits
+        self._serving = serving
+        self._forwarder = forwarder
+
+    async def run(
+        self,
+        call: Call,
+        sink: Sink,
+        record: RequestRecord,
+        progress: Progress,
+    ) -> Result[None, Refusal]:
+        """Pass the whole answer to the sink or return a refusal."""
+        chosen = self._router.choose_region(call.facts)
+        if chosen.is_error():
+            return Error(chosen.error)
+        taken = await self._reserve(call.facts)
+        if taken.is_error():
+            return Error(taken.error)
+        record.step('reserve')
+        try:
+            return await self._dispatch(call, chosen.ok, sink, record, progress)
+        finally:
+            self._settle(call.facts, taken.ok, progress)
+
+    async def _reserve(
+        self, facts: RequestFacts
+    ) -> Result[Reservation | None, Refusal]:
+        if facts.customer_id == OPEN_CUSTOMER:
+            return Ok(None)
+        reserved = await self._limits.reserve(
+            facts.customer_id, facts.reserved_tokens, facts.first_token_ms
+        )
+        if reserved.is_error():
+            return Error(reserved.error)
+        return Ok(reserved.ok)
+
+    def _settle(
+        self,
+        facts: RequestFacts,
+        reservation: Reservation | None,
+        progress: Progress,
+    ) -> None:
+        if reservation is not None:
+            used = spent_tokens(facts, progress)
+            self._limits.settle(reservation, used)
+
+    async def _dispatch(
+        self,
+        call: Call,
+        choice: RegionChoice,
+        sink: Sink,
+        record: RequestRecord,
+        progress: Progress,
+    ) -> Result[None, Refusal]:
+        record.step('queue')
+        for attempt in range(1, MAX_REGION_CHOICES + 1):
+            outcome = await self._once(call, choice, sink, record, progress)
+            if outcome.is_ok() or not _elsewhere(outcome.error, progress):
+                return outcome
+            again = self._router.choose_region(call.facts)
+            if again.is_error() or attempt == MAX_REGION_CHOICES:
+                return outcome
+            choice = again.ok
+            if record.state == 'sent':
+                record.step('retry')
+            await asyncio.sleep(_REGION_BACKOFF_S * attempt)
+        return outcome
+
+    async def _once(
+        self,
+        call: Call,
+        choice: RegionChoice,
+        sink: Sink,
+        record: RequestRecord,
+        progress: Progress,
+    ) -> Result[None, Refusal]:
+        if choice.vm_id is None:
+            return await self._serving.serve(call, sink, record, progress)
+        record.step('send')
+        return await self._forwarder.forward(
+            call, choice, sink, record, progress
+        )
+
+
+def _elsewhere(refusal: Refusal, progress: Progress) -> bool:
+    return refusal.code in _OTHER_VM and not progress.sent
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/records.py
@@ -0,0 +1,74 @@
+"""Remember what became of recent requests, for operators."""
+
+from collections import OrderedDict
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.statechart import load_chart
+
+_CHART = load_chart('request_lifecycle')
+KEPT_RECORDS = 4096
+MAX_SENTENCES = 32
+
+
+class RequestRecord:
+    """Follow one request through the request_lifecycle chart."""
+
+    __slots__ = ('_clock', '_sentences', '_start_ms', '_state', 'request_id')
+
+    def __init__(self, request_id: str, clock: Clock) -> None:
+        self.request_id = request_id
+        self._clock = clock
+        self._start_ms = clock.now_ms()
+        self._state = _CHART.initial
+        self._sentences: list[tuple[int, str]] = []
+
+    @property
+    def state(self) -> str:
+        """Return the state of the request."""
+        return self._state
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the request has ended."""
+        return _CHART.is_final(self._state)
+
+    def step(self, event: str) -> None:
+        """Take an event of the chart."""
+        self._state = _CHART.step(self._state, event)
+
+    def end(self, event: str) -> None:
+        """Take an event that ends the request unless it has ended."""
+        if _CHART.accepts(self._state, event):
+            self._state = _CHART.step(self._state, event)
+
+    def note(self, sentence: str) -> None:
+        """Add a sentence to the explanation."""
+        if len(self._sentences) < MAX_SENTENCES:
+            elapsed = self._clock.now_ms() - self._start_ms
+            self._sentences.append((elapsed, sentence))
+
+    def sentences(self) -> tuple[str, ...]:
+        """Return what happened, with the time since the start in ms."""
+        told = [f'{elapsed} ms: {text}' for elapsed, text in self._sentences]
+        return (*told, f'The request is {self._state}.')
+
+
+class RequestRecords:
+    """Keep the newest records up to a bound."""
+
+    def __init__(self, clock: Clock, bound: int = KEPT_RECORDS) -> None:
+        self._clock = clock
+        self._bound = bound
+        self._records: OrderedDict[str, RequestRecord] = OrderedDict()
+
+    def open(self, request_id: str) -> RequestRecord:
+        """Begin the record of a request."""
+        record = RequestRecord(request_id, self._clock)
+        self._records[request_id] = record
+        if len(self._records) > self._bound:
+            self._records.popitem(last=False)
+        return record
+
+    def find(self, request_id: str) -> RequestRecord | None:
+        """Return the record of a request if it is still kept."""
+        return self._records.get(request_id)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/running.py
@@ -0,0 +1,71 @@
+"""Know the running requests, to cut off withdrawn keys and to drain."""
+
+import asyncio
+from typing import Any
+
+from baobabwharf_core.refusals import Refusal
+
+from baobabwharf_daemon.gateway.auth import KeyIndex
+from baobabwharf_daemon.interfaces import ConfigSource
+
+# A withdrawal must reach connected callers within a second.
+CHECK_INTERVAL_S = 0.2
+
+
+class Running:
+    """Hold one running request of a caller."""
+
+    __slots__ = ('cut', 'digest', 'task')
+
+    def __init__(self, digest: bytes, task: asyncio.Task[Any]) -> None:
+        self.digest = digest
+        self.task = task
+        # Set when the request is cut off by this VM, not by the caller.
+        self.cut: Refusal | None = None
+
+
+class RunningRequests:
+    """Hold all running requests and cut off those of withdrawn keys."""
+
+    def __init__(self, source: ConfigSource, keys: KeyIndex) -> None:
+        self._source = source
+        self._keys = keys
+        self._running: set[Running] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def __len__(self) -> int:
+        return len(self._running)
+
+    def add(self, running: Running) -> None:
+        """Add a request that begins."""
+        self._running.add(running)
+        self._idle.clear()
+
+    def remove(self, running: Running) -> None:
+        """Remove a request that has ended."""
+        self._running.discard(running)
+        if not self._running:
+            self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request runs."""
+        await self._idle.wait()
+
+    async def watch(self) -> None:
+        """Cut off callers of withdrawn keys until cancelled."""
+        while True:
+            self.cut_withdrawn()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def cut_withdrawn(self) -> None:
+        """Cut off the requests whose key does not count any more."""
+        refusals: dict[bytes, Refusal | None] = {b'': None}
+        for running in self._running:
+            digest = running.digest
+            if digest not in refusals:
+                refusals[digest] = self._keys.refusal_of(digest)
+            refusal = refusals[digest]
+            if refusal is not None and running.cut is None:
+                running.cut = refusal
+                running.task.cancel()
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/scrub.py
@@ -0,0 +1,81 @@
+"""Remove a caller's key from everything that leaves this VM."""
+
+import msgspec
+
+_REPLACEMENT = b'REDACTED'
+# JSON escapes that can hide a character of a key.
+_ESCAPES = (b'\x5cu', b'\x5c/')
+_HOP_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'cookie',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-api-key',
+        'x-deadline-ms',
+        'x-priority',
+        'x-request-id',
+        'x-residency',
+        'x-resume-from-token',
+        'x-work-class',
+    )
+)
+
+
+def scrub_bytes(content: bytes, key: bytes) -> bytes:
+    """Replace the key where it stands plainly."""
+    if key and key in content:
+        return content.replace(key, _REPLACEMENT)
+    return content
+
+
+def scrub_json(body: bytes, key: bytes) -> bytes:
+    """Replace the key in a JSON body, also where it is escaped."""
+    body = scrub_bytes(body, key)
+    if not key or not any(mark in body for mark in _ESCAPES):
+        return body
+    try:
+        plain = msgspec.json.encode(msgspec.json.decode(body))
+    except (msgspec.DecodeError, RecursionError):
+        return body
+    return scrub_bytes(plain, key) if key in plain else body
+
+
+def scrub_url(target: str, key: bytes) -> str:
+    """Replace the key in a path or query, also where it is escaped."""
+    if not key:
+        return target
+    raw = scrub_bytes(target.encode('utf-8', 'surrogateescape'), key)
+    if b'%' in raw and key in _unquote(raw):
+        return ''
+    return raw.decode('utf-8', 'surrogateescape')
+
+
+def passed_headers(
+    headers: list[tuple[str, str]], key: bytes
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that an endpoint of a plain service may see."""
+    return tuple(
+        (str(name), scrub_bytes(content.encode(errors='replace'), key).decode())
+        for name, content in headers
+        if name.lower() not in _HOP_HEADERS
+    )
+
+
+def _unquote(raw: bytes) -> bytes:
+    parts = raw.split(b'%')
+    plain = [parts[0]]
+    for part in parts[1:]:
+        try:
+            plain.append(bytes((int(part[:2], 16),)) + part[2:])
+        except ValueError:
+            plain.append(b'%' + part)
+    return b''.join(plain)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/services.py
@@ -0,0 +1,98 @@
+"""Turn calls of plain services into calls of endpoints."""
+
+from baobabwharf_core.ids import CustomerId
+from baobabwharf_core.model import RouteRule
+from baobabwharf_core.refusals import Refusal
+from expression import Error, Ok, Result
+from sanic import Request
+
+from baobabwharf_daemon.gateway.auth import Caller
+from baobabwharf_daemon.gateway.calls import Call
+from baobabwharf_daemon.gateway.completions import read_demands
+from baobabwharf_daemon.gateway.facts import (
+    OPEN_CUSTOMER,
+    RequestIds,
+    choose_target,
+    narrow_residency,
+    service_facts,
+)
+from baobabwharf_daemon.gateway.scrub import (
+    passed_headers,
+    scrub_bytes,
+    scrub_json,
+    scrub_url,
+)
+from baobabwharf_daemon.interfaces import ConfigSource
+
+SERVICES_PREFIX = '/services/'
+
+
+class ServiceCalls:
+    """Validate calls of plain services."""
+
+    def __init__(self, source: ConfigSource, request_ids: RequestIds) -> None:
+        self._source = source
+        self._request_ids = request_ids
+
+    def build(
+        self,
+        request: Request,
+        rule: RouteRule,
+        body: bytes,
+        caller: Caller | None,
+    ) -> Result[Call, Refusal]:
+        """Return the call of a valid request."""
+        demands = read_demands(request)
+        target = choose_target(self._source.config, demands, rule.work_class)
+        if target.is_error():
+            return Error(target.error)
+        allowed = caller.customer.residency if caller else ()
+        residency = narrow_residency(allowed, demands.residency)
+        if residency.is_error():
+            return Error(residency.error)
+        key = sent_key(request)
+        _service, path = split_path(request)
+        return Ok(
+            Call(
+                facts=service_facts(
+                    self._request_ids.next_id(),
+                    _customer_id(caller),
+                    rule,
+                    target.ok,
+                    residency.ok,
+                    body,
+                ),
+                method=request.method,
+                path=scrub_url(path, key),
+                query=scrub_url(request.query_string, key),
+                headers=passed_headers(list(request.headers.items()), key),
+                body=_scrub_body(request, body, key),
+                completion=False,
+            )
+        )
+
+
+def split_path(request: Request) -> tuple[str, str]:
+    """Return service and path of a call, the path as it was sent."""
+    raw = request.raw_url.split(b'?', 1)[0].decode('ascii', 'replace')
+    _empty, _services, rest = raw.split('/', 2)
+    service, slash, path = rest.partition('/')
+    return service, f'{slash or "/"}{path}'
+
+
+def sent_key(request: Request) -> bytes:
+    """Return what came as Authorization, valid or not."""
+    header = request.headers.get('authorization', '')
+    _scheme, _space, key = header.partition(' ')
+    return (key or header).strip().encode('utf-8', 'surrogateescape')
+
+
+def _customer_id(caller: Caller | None) -> CustomerId:
+    return caller.customer.customer_id if caller else OPEN_CUSTOMER
+
+
+def _scrub_body(request: Request, body: bytes, key: bytes) -> bytes:
+    content_type = request.headers.get('content-type', '')
+    if 'json' in content_type:
+        return scrub_json(body, key)
+    return scrub_bytes(body, key)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -0,0 +1,276 @@
+"""Build the HTTP side of the daemon from its settings and the interfaces."""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import ModelId, RegionId, ServiceId, VmId
+from sanic import Sanic
+
+from baobabwharf_daemon.forwarding.endpoint_client import EndpointClient
+from baobabwharf_daemon.forwarding.forwarder import Forwarder
+from baobabwharf_daemon.forwarding.listener import ForwardRoutes
+from baobabwharf_daemon.forwarding.serving import Serving
+from baobabwharf_daemon.gateway.auth import KeyIndex
+from baobabwharf_daemon.gateway.bookings import Bookings
+from baobabwharf_daemon.gateway.caller_app import CallerParts, CallerRoutes
+from baobabwharf_daemon.gateway.certificates import (
+    CertificateReloader,
+    caller_context,
+    forward_client_context,
+    forward_server_context,
+)
+from baobabwharf_daemon.gateway.drain import Drain
+from baobabwharf_daemon.gateway.exchange import Exchange
+from baobabwharf_daemon.gateway.facts import RequestIds, RouteIndex
+from baobabwharf_daemon.gateway.http_server import HttpServer, new_app
+from baobabwharf_daemon.gateway.pipeline import Pipeline
+from baobabwharf_daemon.gateway.platform_routes import PlatformRoutes
+from baobabwharf_daemon.gateway.records import RequestRecords
+from baobabwharf_daemon.gateway.running import RunningRequests
+from baobabwharf_daemon.interfaces import (
+    ChangeClient,
+    ClaimClient,
+    ConfigSource,
+    EndpointRegistry,
+    LimitClient,
+    MembershipView,
+    ModelCatalog,
+    Router,
+    StatusSource,
+)
+from baobabwharf_daemon.operator.changes import Changes
+from baobabwharf_daemon.operator.events import EventLog
+from baobabwharf_daemon.operator.routes import OperatorParts, OperatorRoutes
+from baobabwharf_daemon.rpc import read_secret
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.task import Task
+
+_Watch = Callable[[], Awaitable[None]]
+
+
+class GatewayInputs(msgspec.Struct, frozen=True):
+    """Hold what the rest of the daemon gives to the HTTP side.
+
+    tombstone spreads the digest of a withdrawn key ahead of the log.
+    """
+
+    settings: Settings
+    clock: Clock
+    source: ConfigSource
+    changes: ChangeClient
+    claims: ClaimClient
+    limits: LimitClient
+    membership: MembershipView
+    router: Router
+    registry: EndpointRegistry
+    catalog: ModelCatalog
+    status: StatusSource
+    tombstone: Callable[[bytes], None]
+    events: EventLog
+
+
+class RegistryCatalog(ModelCatalog):
+    """List the models of the endpoints that a registry describes."""
+
+    def __init__(self, registry: EndpointRegistry) -> None:
+        self._registry = registry
+
+    def models(self) -> dict[ModelId, ServiceId]:
+        """Return the service of each model of this region."""
+        return {
+            ModelId(model): ServiceId(endpoint['service'])
+            for endpoint in self._registry.describe()
+            for model in endpoint.get('models', ())
+        }
+
+
+class _Listener(Task):
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+
+class _Watcher(Task):
+    def __init__(self, *watchers: _Watch) -> None:
+        self._watchers = watchers
+        self._tasks: list[asyncio.Future[None]] = []
+
+    async def start(self) -> None:
+        self._tasks = [
+            asyncio.ensure_future(watch()) for watch in self._watchers
+        ]
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+
+class Gateway(Task):
+    """Hold all HTTP tasks of a VM; start and stop them in order."""
+
+    def __init__(self, drain: Drain, tasks: tuple[Task, ...]) -> None:
+        self._drain = drain
+        self._tasks = tasks
+        self._started: list[Task] = []
+
+    @property
+    def drain(self) -> Drain:
+        """Return the drain: call request_stop on SIGTERM, await wait."""
+        return self._drain
+
+    async def start(self) -> None:
+        """Open the connection pools, then the listeners."""
+        for task in self._tasks:
+            await task.start()
+            self._started.append(task)
+
+    async def stop(self) -> None:
+        """Close the listeners, then the connection pools."""
+        while self._started:
+            await self._started.pop().stop()
+
+
+class _Contexts:
+    """Hold the TLS contexts; all are None without TLS."""
+
+    def __init__(self, settings: Settings) -> None:
+        tls = settings.tls
+        self.caller: ssl.SSLContext | None = None
+        self.server: ssl.SSLContext | None = None
+        self.client: ssl.SSLContext | None = None
+        self.reloader: CertificateReloader | None = None
+        if tls is not None:
+            self.caller = caller_context(tls)
+            self.server = forward_server_context(tls)
+            self.client = forward_client_context(tls)
+            self.reloader = CertificateReloader(
+                tls, (self.caller, self.server, self.client)
+            )
+
+
+class _Builder:
+    def __init__(self, inputs: GatewayInputs) -> None:
+        settings = inputs.settings
+        self._inputs = inputs
+        self._secret = read_secret(settings.fleet_secret_file)
+        self._region = RegionId(settings.region)
+        self._vm_id = VmId(settings.vm_id)
+        self._contexts = _Contexts(settings)
+        self._keys = KeyIndex(inputs.source)
+        self._records = RequestRecords(inputs.clock)
+        self._running = RunningRequests(inputs.source, self._keys)
+        self._client = EndpointClient()
+
+    def build(self) -> Gateway:
+        inputs = self._inputs
+        serving = Serving(
+            self._region, inputs.router, self._client, inputs.clock
+        )
+        forwarder = Forwarder(
+            self._vm_id, self._region, self._secret, self._contexts.client
+        )
+        pipeline = Pipeline(inputs.router, inputs.limits, serving, forwarder)
+        bookings = Bookings(self._vm_id, pipeline, inputs.claims)
+        drain = Drain(
+            inputs.membership,
+            (self._running, bookings),
+            inputs.settings.drain_deadline_ms,
+        )
+        watchers: list[_Watch] = [self._running.watch]
+        if self._contexts.reloader is not None:
+            watchers.append(self._contexts.reloader.watch)
+        return Gateway(
+            drain,
+            (
+                self._client,
+                forwarder,
+                _Watcher(*watchers),
+                self._forward_listener(serving, drain),
+                self._operator_listener(),
+                self._caller_listener(pipeline, bookings, drain),
+            ),
+        )
+
+    def _caller_listener(
+        self, pipeline: Pipeline, bookings: Bookings, drain: Drain
+    ) -> Task:
+        inputs = self._inputs
+        app = new_app('caller')
+        parts = CallerParts(
+            settings=inputs.settings,
+            source=inputs.source,
+            membership=inputs.membership,
+            catalog=inputs.catalog,
+            keys=self._keys,
+            routes=RouteIndex(),
+            request_ids=RequestIds(),
+            records=self._records,
+            pipeline=pipeline,
+            bookings=bookings,
+            exchange=Exchange(self._running),
+            drain=drain,
+        )
+        CallerRoutes(parts).add_to(app)
+        PlatformRoutes(
+            inputs.settings.region, self._keys, inputs.registry
+        ).add_to(app)
+        port = inputs.settings.listen.caller_port
+        return self._listener(app, port, self._contexts.caller)
+
+    def _forward_listener(self, serving: Serving, drain: Drain) -> Task:
+        app = new_app('forward')
+        ForwardRoutes(
+            self._region,
+            self._secret,
+            serving,
+            self._records,
+            self._running,
+            drain,
+        ).add_to(app)
+        port = self._inputs.settings.listen.forward_port
+        return self._listener(app, port, self._contexts.server)
+
+    def _operator_listener(self) -> Task:
+        inputs = self._inputs
+        changes = Changes(
+            inputs.changes,
+            inputs.source,
+            inputs.status,
+            inputs.tombstone,
+            inputs.events,
+            inputs.clock,
+        )
+        app = new_app('operator')
+        OperatorRoutes(
+            OperatorParts(
+                inputs.settings.operator_token_digests,
+                changes,
+                inputs.changes,
+                inputs.source,
+                inputs.status,
+                inputs.router,
+                self._records,
+                inputs.events,
+            )
+        ).add_to(app)
+        port = inputs.settings.listen.operator_port
+        return self._listener(app, port, self._contexts.caller)
+
+    def _listener(
+        self, app: Sanic, port: int, context: ssl.SSLContext | None
+    ) -> Task:
+        host = self._inputs.settings.listen.host
+        return _Listener(HttpServer(app, host, port, context))
+
+
+def build_gateway(inputs: GatewayInputs) -> Gateway:
+    """Return the HTTP side of a VM; nothing is opened before start."""
+    return _Builder(inputs).build()
--- a/packages/daemon/src/baobabwharf_daemon/interfaces.py
+++ b/packages/daemon/src/baobabwharf_daemon/interfaces.py
@@ -7,11 +7,23 @@
 
 import abc
 import asyncio
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
 from baobabwharf_core.changes import ChangeOutcome, ChangeRequest
-from baobabwharf_core.ids import CustomerId, EndpointId, RequestId, VmId
+from baobabwharf_core.ids import (
+    CustomerId,
+    EndpointId,
+    Incarnation,
+    ModelId,
+    RegionId,
+    RequestId,
+    Revision,
+    ServiceId,
+    VmId,
+    ZoneId,
+)
 from baobabwharf_core.model import FleetConfig, VmRecord
 from baobabwharf_core.platform import Announcement, Heartbeat, LeaseAnswer
 from baobabwharf_core.refusals import Refusal
@@ -177,3 +189,32 @@
     @abc.abstractmethod
     def describe(self) -> tuple[dict[str, Any], ...]:
         """Return one JSON object for each known endpoint, for operators."""
+
+
+class ModelCatalog(abc.ABC):
+    """Tell which models the fleet serves."""
+
+    @abc.abstractmethod
+    def models(self) -> Mapping[ModelId, ServiceId]:
+        """Return the service of each model, over all regions."""
+
+
+class VmStatus(msgspec.Struct, frozen=True):
+    """Describe a VM as this VM sees it; age_ms is the revision's age."""
+
+    vm_id: VmId
+    region: RegionId
+    zone: ZoneId
+    revision: Revision
+    age_ms: int
+    alive: bool
+    role: str
+    incarnation: Incarnation
+
+
+class StatusSource(abc.ABC):
+    """Describe the VMs of the fleet to operators."""
+
+    @abc.abstractmethod
+    def vm_status(self) -> tuple[VmStatus, ...]:
+        """Return one entry for each known VM, this VM included."""
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Serve operators over HTTP."""
