Testkit: add the stand-in endpoint

Cause: daemons and tests need back ends that speak the published interfaces and whose answers can be verified token by token. Change: one aiohttp program that serves as an engine or a plain service, announces itself to the VMs, records what it saw and ran, and takes faults. Announcing is not yet run against a daemon.

--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/answers.py
@@ -0,0 +1,68 @@
+"""Derive answers from prompts, so that a caller can verify each token."""
+
+import hashlib
+from typing import Any
+
+_SEED_BYTES = 8
+_STEP = 2654435761  # an odd constant spreads successive tokens over 32 bits
+_MASK = 0xFFFFFFFF
+CHARS_PER_TOKEN = 4
+DEFAULT_OUTPUT_TOKENS = 16
+
+
+def prompt_text(body: dict[str, Any]) -> str:
+    """Return the text of the prompt or of all messages of a request body."""
+    messages = body.get('messages')
+    if isinstance(messages, list):
+        return '\n'.join(_message_text(message) for message in messages)
+    prompt = body.get('prompt', '')
+    if isinstance(prompt, list):
+        return '\n'.join(str(part) for part in prompt)
+    return str(prompt)
+
+
+def _message_text(message: dict[str, Any]) -> str:
+    content = message.get('content') or ''
+    if isinstance(content, list):
+        content = ''.join(str(part.get('text', '')) for part in content)
+    return f'{message.get("role", "")}: {content}'
+
+
+def prompt_tokens(prompt: str) -> int:
+    """Return the number of tokens of a prompt."""
+    return max(1, len(prompt) // CHARS_PER_TOKEN)
+
+
+def output_tokens(body: dict[str, Any]) -> int:
+    """Return the number of tokens that the body asks for."""
+    asked = body.get('max_tokens') or body.get('max_completion_tokens')
+    return int(asked or DEFAULT_OUTPUT_TOKENS)
+
+
+def prompt_seed(prompt: str) -> int:
+    """Return the number from which all tokens of an answer follow."""
+    digest = hashlib.blake2b(prompt.encode(), digest_size=_SEED_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def answer_token(seed: int, index: int) -> str:
+    """Return one token of the answer; it has eight hex digits and a space."""
+    return f'{(seed + (index + 1) * _STEP) & _MASK:08x} '
+
+
+def expected_answer(body: dict[str, Any]) -> str:
+    """Return the whole answer that an engine gives to a request body."""
+    seed = prompt_seed(prompt_text(body))
+    count = output_tokens(body)
+    return ''.join(answer_token(seed, index) for index in range(count))
+
+
+def sheet_text(path: str) -> str:
+    """Return the content that a plain service reads back for a path."""
+    seed = prompt_seed(path)
+    return ''.join(answer_token(seed, index) for index in range(8))
+
+
+def body_digest(body: bytes) -> str:
+    """Return the digest by which a plain service names a request body."""
+    return hashlib.sha256(body).hexdigest()
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_announce.py
@@ -0,0 +1,233 @@
+"""Announce a stand-in endpoint to the VMs and renew its lease."""
+
+import asyncio
+import logging
+import random
+import ssl
+from collections import deque
+
+import aiohttp
+import msgspec
+from baobabwharf_core.ids import (
+    EndpointId,
+    Incarnation,
+    ModelId,
+    RegionId,
+    ServiceId,
+    ZoneId,
+)
+from baobabwharf_core.platform import (
+    ANNOUNCE_PATH,
+    HEARTBEAT_PATH,
+    Announcement,
+    CacheEvent,
+    Capabilities,
+    Heartbeat,
+    LeaseAnswer,
+)
+
+from baobabwharf_testkit.endpoint_engine import Engine, LoadHistory
+from baobabwharf_testkit.endpoint_model import (
+    EndpointKind,
+    EndpointSettings,
+    Faults,
+)
+
+_LOG = logging.getLogger('baobabwharf.testkit.endpoint')
+_CALL_TIMEOUT_S = 1.0  # a third of the lease, so that failover keeps it
+_RETRY_S = 0.2
+_DEFAULT_HEARTBEAT_MS = 1000
+_MS_PER_S = 1000
+_FAILURES = (
+    aiohttp.ClientError,
+    OSError,
+    asyncio.TimeoutError,
+    msgspec.MsgspecError,
+)
+
+
+def build_announcement(
+    settings: EndpointSettings, url: str, incarnation: int
+) -> Announcement:
+    """Return the announcement that follows from the settings."""
+    engine = settings.kind is EndpointKind.ENGINE
+    return Announcement(
+        endpoint_id=EndpointId(settings.endpoint_id),
+        service=ServiceId(settings.service),
+        region=RegionId(settings.region),
+        zone=ZoneId(settings.zone),
+        url=settings.announced_url or url,
+        incarnation=Incarnation(incarnation),
+        models=tuple(ModelId(model) for model in settings.models),
+        adapters=settings.adapters,
+        capabilities=Capabilities(
+            priority=settings.priority and engine,
+            cancel=settings.cancel and engine,
+            resume=settings.resume and engine,
+            kv_transfer=engine,
+            checks_fencing=settings.checks_fencing and engine,
+        ),
+        slots=settings.slots,
+        tokens_per_s=settings.tokens_per_s,
+        prefill_tokens_per_s=settings.prefill_tokens_per_s,
+    )
+
+
+class CacheEventFeed:
+    """Delay cache events and lose some of them by seed."""
+
+    def __init__(self, settings: EndpointSettings) -> None:
+        self._delay_ms = settings.cache_event_delay_ms
+        self._loss = settings.cache_event_loss
+        self._random = random.Random(settings.seed)
+        self._pending: deque[tuple[int, CacheEvent]] = deque()
+
+    def add(self, events: list[CacheEvent], now_ms: int) -> None:
+        """Take new events."""
+        for event in events:
+            if self._random.random() >= self._loss:
+                self._pending.append((now_ms, event))
+
+    def due(self, now_ms: int) -> tuple[CacheEvent, ...]:
+        """Return the events that are old enough to be reported."""
+        ready = []
+        while self._pending and now_ms - self._pending[0][0] >= self._delay_ms:
+            ready.append(self._pending.popleft()[1])
+        return tuple(ready)
+
+
+class Announcer:
+    """Keep the lease of the endpoint at one VM after another."""
+
+    def __init__(
+        self,
+        settings: EndpointSettings,
+        announcement: Announcement,
+        engine: Engine,
+        history: LoadHistory,
+        faults: Faults,
+    ) -> None:
+        self._settings = settings
+        self._announcement = announcement
+        self._engine = engine
+        self._history = history
+        self._faults = faults
+        self._feed = CacheEventFeed(settings)
+        self._urls = list(settings.vm_urls)
+        self._sequence = 0
+        self._leaving = False
+        self._registered = asyncio.Event()
+
+    @property
+    def registered(self) -> bool:
+        """Tell whether a VM holds a lease of this endpoint."""
+        return self._registered.is_set()
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the endpoint has announced that it leaves."""
+        return self._leaving
+
+    async def run(self) -> None:
+        """Announce and send heartbeats until cancelled."""
+        async with self._session() as session:
+            while True:
+                wait_ms = await self._round(session)
+                await asyncio.sleep(wait_ms / _MS_PER_S)
+
+    async def leave(self) -> None:
+        """Tell the VM that the endpoint leaves."""
+        self._leaving = True
+        async with self._session() as session:
+            for _ in self._urls:
+                beat = self._heartbeat()
+                answer = await self._post(session, HEARTBEAT_PATH, beat)
+                if answer is not None:
+                    return
+                self._rotate()
+
+    def _session(self) -> aiohttp.ClientSession:
+        context: ssl.SSLContext | bool = True
+        if self._settings.ca_file:
+            context = ssl.create_default_context(cafile=self._settings.ca_file)
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(ssl=context),
+            timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S),
+            headers={'Authorization': f'Bearer {self._settings.endpoint_key}'},
+        )
+
+    async def _round(self, session: aiohttp.ClientSession) -> float:
+        if self._faults.hold_heartbeats:
+            return _DEFAULT_HEARTBEAT_MS
+        answer = await self._renew(session)
+        if answer is None:
+            self._registered.clear()
+            self._rotate()
+            return _RETRY_S * _MS_PER_S
+        self._registered.set()
+        self._learn(answer)
+        return answer.heartbeat_ms
+
+    async def _renew(
+        self, session: aiohttp.ClientSession
+    ) -> LeaseAnswer | None:
+        if not self.registered:
+            announced = await self._post(
+                session, ANNOUNCE_PATH, self._announcement
+            )
+            if announced is None:
+                return None
+        return await self._post(session, HEARTBEAT_PATH, self._heartbeat())
+
+    def _heartbeat(self) -> Heartbeat:
+        now = int(asyncio.get_running_loop().time() * _MS_PER_S)
+        self._feed.add(self._engine.cache.take_events(), now)
+        self._sequence += 1
+        return Heartbeat(
+            endpoint_id=self._announcement.endpoint_id,
+            incarnation=self._announcement.incarnation,
+            sequence=self._sequence,
+            load=self._history.lagged(),
+            cache_events=self._feed.due(now),
+            leaving=self._leaving,
+        )
+
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        message: Announcement | Heartbeat,
+    ) -> LeaseAnswer | None:
+        if not self._urls:
+            return None
+        url = self._urls[0] + path
+        try:
+            return await self._exchange(session, url, message)
+        except _FAILURES as fault:
+            _LOG.info('testkit: %s gave no lease: %r', url, fault)
+            return None
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        message: Announcement | Heartbeat,
+    ) -> LeaseAnswer | None:
+        headers = {'Content-Type': 'application/json'}
+        payload = msgspec.json.encode(message)
+        async with session.post(url, data=payload, headers=headers) as answer:
+            content = await answer.read()
+            if answer.status >= 300:
+                _LOG.info('testkit: %s: %s %s', url, answer.status, content)
+                return None
+            return msgspec.json.decode(content, type=LeaseAnswer)
+
+    def _rotate(self) -> None:
+        self._urls = self._urls[1:] + self._urls[:1]
+
+    def _learn(self, answer: LeaseAnswer) -> None:
+        known = self._urls[:1]
+        for url in (*answer.vm_urls, *self._settings.vm_urls):
+            if url not in known:
+                known.append(url)
+        self._urls = known
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_engine.py
@@ -0,0 +1,247 @@
+"""Batch requests on a limited number of slots with a prefix cache."""
+
+import asyncio
+import heapq
+import itertools
+from collections import OrderedDict, deque
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+from baobabwharf_core.platform import CacheEvent, CacheEventKind, LoadReport
+from baobabwharf_core.prefix import BLOCK_CHARS, prefix_hashes
+
+from baobabwharf_testkit.answers import (
+    CHARS_PER_TOKEN,
+    answer_token,
+    prompt_seed,
+    prompt_tokens,
+)
+from baobabwharf_testkit.endpoint_model import EndpointSettings
+
+_KEPT_SAMPLES = 200
+_MS_PER_S = 1000
+_BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
+
+
+class Generation(msgspec.Struct):
+    """Describe one request to the engine."""
+
+    request_id: str
+    prompt: str
+    count: int
+    first: int = 0
+    priority: int = 0
+    cancelled: bool = False
+
+
+class PrefixCache:
+    """Hold prefix blocks up to a bound and evict the least recently used."""
+
+    def __init__(self, bound: int) -> None:
+        self._bound = bound
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._sequence = 0
+        self._events: list[CacheEvent] = []
+
+    @property
+    def used_share(self) -> float:
+        """Return the share of the memory that is in use."""
+        return len(self._blocks) / self._bound if self._bound else 0.0
+
+    @property
+    def blocks(self) -> tuple[int, ...]:
+        """Return the hashes of the held blocks."""
+        return tuple(self._blocks)
+
+    def take_events(self) -> list[CacheEvent]:
+        """Return the events since the last call."""
+        events = self._events
+        self._events = []
+        return events
+
+    def match(self, hashes: tuple[int, ...]) -> int:
+        """Return how many leading blocks are held."""
+        matched = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            matched += 1
+        return matched
+
+    def store(self, hashes: tuple[int, ...]) -> None:
+        """Hold the blocks and report each change."""
+        for block in hashes:
+            if block not in self._blocks and self._bound:
+                self._blocks[block] = None
+                self._report(CacheEventKind.STORED, block)
+        while len(self._blocks) > self._bound:
+            oldest, _none = self._blocks.popitem(last=False)
+            self._report(CacheEventKind.EVICTED, oldest)
+
+    def _report(self, kind: CacheEventKind, block: int) -> None:
+        self._sequence += 1
+        self._events.append(CacheEvent(self._sequence, kind, block))
+
+
+_Waiter = tuple[int, int, asyncio.Future[None]]
+
+
+class Slots:
+    """Grant a limited number of slots by priority, then by arrival."""
+
+    def __init__(self, slots: int) -> None:
+        self._free = slots
+        self._slots = slots
+        self._order = itertools.count()
+        self._waiting: list[_Waiter] = []
+
+    @property
+    def running(self) -> int:
+        """Return the number of slots in use."""
+        return self._slots - self._free
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(1 for entry in self._waiting if not entry[2].done())
+
+    @property
+    def fill(self) -> float:
+        """Return the share of the slots in use."""
+        return self.running / self._slots
+
+    async def acquire(self, priority: int) -> None:
+        """Wait for a slot; a lower priority value is served first."""
+        if self._free > 0:
+            self._free -= 1
+            return
+        granted = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (priority, next(self._order), granted))
+        try:
+            await granted
+        except asyncio.CancelledError:
+            if granted.done() and not granted.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Give the slot to the next waiting request or free it."""
+        while self._waiting:
+            _priority, _order, granted = heapq.heappop(self._waiting)
+            if not granted.done():
+                granted.set_result(None)
+                return
+        self._free += 1
+
+
+class LoadHistory:
+    """Report load as it was a fixed time ago."""
+
+    def __init__(self, lag_ms: int, now_ms: Callable[[], int]) -> None:
+        self._lag_ms = lag_ms
+        self._now_ms = now_ms
+        self._samples: deque[tuple[int, LoadReport]] = deque(
+            maxlen=_KEPT_SAMPLES
+        )
+
+    def record(self, report: LoadReport) -> None:
+        """Keep a sample of the load."""
+        self._samples.append((self._now_ms(), report))
+
+    def lagged(self) -> LoadReport:
+        """Return the newest sample that is at least as old as the lag."""
+        now = self._now_ms()
+        found: tuple[int, LoadReport] = (now, LoadReport(0, 0))
+        for taken, report in self._samples:
+            if now - taken < self._lag_ms:
+                break
+            found = (taken, report)
+        return msgspec.structs.replace(found[1], age_ms=now - found[0])
+
+
+class Engine:
+    """Generate deterministic tokens at a limited rate."""
+
+    def __init__(self, settings: EndpointSettings) -> None:
+        self._settings = settings
+        self._slots = Slots(settings.slots)
+        self._cache = PrefixCache(settings.cache_blocks)
+        self._running: dict[str, Generation] = {}
+        self._cancelled = 0
+
+    @property
+    def cache(self) -> PrefixCache:
+        """Return the prefix cache."""
+        return self._cache
+
+    @property
+    def slots(self) -> Slots:
+        """Return the slots."""
+        return self._slots
+
+    @property
+    def cancelled(self) -> int:
+        """Return the number of requests that ended by cancellation."""
+        return self._cancelled
+
+    def load(self) -> LoadReport:
+        """Return the load of this moment."""
+        return LoadReport(
+            running=self._slots.running,
+            queued=self._slots.queued,
+            kv_used_share=self._cache.used_share,
+        )
+
+    def cancel(self, request_id: str) -> bool:
+        """Stop a running request; tell whether it was running."""
+        generation = self._running.get(request_id)
+        if generation is None:
+            return False
+        generation.cancelled = True
+        return True
+
+    async def tokens(self, wanted: Generation) -> AsyncIterator[str]:
+        """Yield the tokens; fewer than asked if the request is cancelled."""
+        self._running[wanted.request_id] = wanted
+        try:
+            await self._slots.acquire(wanted.priority)
+        except asyncio.CancelledError:
+            self._running.pop(wanted.request_id, None)
+            raise
+        complete = False
+        try:
+            async for token in self._generate(wanted):
+                yield token
+            complete = not wanted.cancelled
+        finally:
+            self._slots.release()
+            self._forget(wanted, complete)
+
+    def _forget(self, wanted: Generation, complete: bool) -> None:
+        self._running.pop(wanted.request_id, None)
+        self._cancelled += not complete
+
+    async def _generate(self, wanted: Generation) -> AsyncIterator[str]:
+        await self._prefill(wanted.prompt)
+        seed = prompt_seed(wanted.prompt)
+        for index in range(wanted.first, wanted.count):
+            if wanted.cancelled:
+                return
+            await self._pace()
+            yield answer_token(seed, index)
+
+    async def _prefill(self, prompt: str) -> None:
+        hashes = prefix_hashes(prompt)
+        cached = self._cache.match(hashes) * _BLOCK_TOKENS
+        rate = self._settings.prefill_tokens_per_s
+        if rate:
+            work = max(0, prompt_tokens(prompt) - cached)
+            await asyncio.sleep(work / rate)
+        self._cache.store(hashes)
+
+    async def _pace(self) -> None:
+        rate = self._settings.tokens_per_s
+        if rate:
+            slowdown = 1 + self._settings.batch_slowdown * self._slots.fill
+            await asyncio.sleep(slowdown / rate)
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_model.py
@@ -0,0 +1,125 @@
+"""Describe the settings, faults and records of a stand-in endpoint."""
+
+import enum
+
+import msgspec
+
+_KEPT_REQUESTS = 50_000
+
+
+class EndpointKind(enum.Enum):
+    """Choose the interface that the endpoint serves."""
+
+    ENGINE = 'engine'
+    SERVICE = 'service'
+
+
+class EndpointSettings(msgspec.Struct, kw_only=True):
+    """Hold the settings of a stand-in endpoint; a rate of 0 is unlimited."""
+
+    endpoint_id: str
+    service: str
+    region: str
+    zone: str
+    kind: EndpointKind = EndpointKind.ENGINE
+    host: str = '127.0.0.1'
+    port: int = 0
+    vm_urls: tuple[str, ...] = ()
+    endpoint_key: str = ''
+    ca_file: str | None = None
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    slots: int = 8
+    tokens_per_s: float = 50.0
+    prefill_tokens_per_s: float = 4000.0
+    # Share by which a full batch slows each sequence down.
+    batch_slowdown: float = 0.3
+    service_ms: float = 5.0
+    cache_blocks: int = 4096
+    load_lag_ms: int = 300
+    cache_event_delay_ms: int = 500
+    cache_event_loss: float = 0.02
+    checks_fencing: bool = True
+    resume: bool = True
+    cancel: bool = True
+    priority: bool = True
+    # New requests are still served for this time after leaving is announced.
+    leave_grace_ms: int = 1500
+    # Announced in place of the listening URL, for links with faults.
+    announced_url: str = ''
+    seed: int = 1
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """Hold the faults in force; a counter falls with each use."""
+
+    late_ms: int = 0
+    late_next: int = 0
+    cross_next: int = 0
+    refuse_next: int = 0
+    break_next: int = 0
+    break_after_tokens: int = 0
+    exit_after_tokens: int = 0
+    fail_next: int = 0
+    hold_heartbeats: bool = False
+
+    def take(self, name: str) -> bool:
+        """Use one count of a fault; tell whether it applies."""
+        left = getattr(self, name)
+        if left > 0:
+            setattr(self, name, left - 1)
+        return left > 0
+
+
+class SeenRequest(msgspec.Struct, frozen=True):
+    """Record what an endpoint saw of one request."""
+
+    method: str
+    url: str
+    request_id: str
+    headers: dict[str, str]
+
+
+class Run(msgspec.Struct, frozen=True):
+    """Record one call that a plain service ran."""
+
+    method: str
+    path: str
+    request_id: str
+    idempotency_key: str
+    body_digest: str
+
+
+class Records:
+    """Hold what the endpoint saw and ran, for tests."""
+
+    def __init__(self) -> None:
+        self._seen: list[SeenRequest] = []
+        self._runs: list[Run] = []
+        self._dropped = 0
+
+    @property
+    def dropped(self) -> int:
+        """Return the number of requests that were not kept."""
+        return self._dropped
+
+    @property
+    def seen(self) -> tuple[SeenRequest, ...]:
+        """Return the requests in the order of arrival."""
+        return tuple(self._seen)
+
+    @property
+    def runs(self) -> tuple[Run, ...]:
+        """Return the calls in the order in which they ran."""
+        return tuple(self._runs)
+
+    def add_seen(self, seen: SeenRequest) -> None:
+        """Keep a request up to a bound."""
+        if len(self._seen) < _KEPT_REQUESTS:
+            self._seen.append(seen)
+        else:
+            self._dropped += 1
+
+    def add_run(self, run: Run) -> None:
+        """Keep a run; runs are not bounded, since tests count them."""
+        self._runs.append(run)
