--- a/packages/testkit/src/baobabwharf_testkit/answers.py
+++ b/packages/testkit/src/baobabwharf_testkit/answers.py
@@ -25,7 +25,7 @@
     content = message.get('content') or ''
     if isinstance(content, list):
         content = ''.join(str(part.get('text', '')) for part in content)
-    return f'{message.get("role", "")}: {content}'
+    return str(content)
 
 
 def prompt_tokens(prompt: str) -> int:
@@ -35,8 +35,9 @@
 
 def output_tokens(body: dict[str, Any]) -> int:
     """Return the number of tokens that the body asks for."""
-    asked = body.get('max_tokens') or body.get('max_completion_tokens')
-    return int(asked or DEFAULT_OUTPUT_TOKENS)
+    names = ('max_tokens', 'max_completion_tokens')
+    asked = [int(body[name]) for name in names if body.get(name)]
+    return max(asked, default=DEFAULT_OUTPUT_TOKENS)
 
 
 def prompt_seed(prompt: str) -> int:
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/calls.py
@@ -0,0 +1,216 @@
+"""Describe calls and judge their answers."""
+
+import enum
+from typing import Any
+
+import msgspec
+
+from baobabwharf_testkit.answers import (
+    body_digest,
+    expected_answer,
+    output_tokens,
+    sheet_text,
+)
+
+_MIN_ERROR_STATUS = 300
+
+_Event = dict[str, Any]
+
+
+class CallKind(enum.Enum):
+    """Name the kinds of work of both deployments."""
+
+    CHAT = 'streaming chat'
+    BATCH = 'batch rota'
+    QUICK = 'quick question'
+    BOOKING = 'booking'
+    SHEET = 'job sheet'
+
+
+class Outcome(enum.Enum):
+    """Tell how a call ended."""
+
+    COMPLETE = 'complete'
+    # An explicit refusal that says that the call did not run.
+    REFUSED = 'refused'
+    # An explicit error; the call may have run.
+    FAILED = 'failed'
+    # The connection broke before the answer was complete.
+    BROKEN = 'broken'
+    # The answer looks complete but is not the right one: never allowed.
+    WRONG = 'wrong'
+
+
+class Call(msgspec.Struct, frozen=True):
+    """Describe one call of a caller."""
+
+    kind: CallKind
+    path: str
+    method: str = 'POST'
+    body: bytes = b''
+    headers: dict[str, str] = {}
+    streaming: bool = False
+
+
+class Answer(msgspec.Struct):
+    """Hold what the caller received, with times in ms."""
+
+    status: int = 0
+    content: bytes = b''
+    headers: dict[str, str] = {}
+    vm_url: str = ''
+    first_token_ms: float | None = None
+    total_ms: float = 0.0
+    fault: str = ''
+
+
+class Judgement(msgspec.Struct, frozen=True):
+    """Hold the outcome of a call and its reason."""
+
+    outcome: Outcome
+    reason: str = ''
+    retry_after_ms: int = 0
+
+
+def completion_call(
+    kind: CallKind,
+    model: str,
+    prompt: str,
+    max_tokens: int,
+    work_class: str = 'interactive',
+) -> Call:
+    """Return a chat completion call; only quick questions do not stream."""
+    streaming = kind is not CallKind.QUICK
+    body: dict[str, Any] = {
+        'model': model,
+        'messages': [{'role': 'user', 'content': prompt}],
+        'max_tokens': max_tokens,
+        'stream': streaming,
+    }
+    if streaming:
+        body['stream_options'] = {'include_usage': True}
+    return Call(
+        kind=kind,
+        path='/v1/chat/completions',
+        body=msgspec.json.encode(body),
+        headers={
+            'Content-Type': 'application/json',
+            'X-Work-Class': work_class,
+        },
+        streaming=streaming,
+    )
+
+
+def booking_call(service: str, path: str, name: str) -> Call:
+    """Return a booking with an idempotency key."""
+    return Call(
+        kind=CallKind.BOOKING,
+        path=f'/services/{service}{path}',
+        body=msgspec.json.encode({'booking': name}),
+        headers={
+            'Content-Type': 'application/json',
+            'Idempotency-Key': f'key-{name}',
+        },
+    )
+
+
+def sheet_call(service: str, path: str, name: str) -> Call:
+    """Return a call that reads back a job sheet."""
+    return Call(
+        kind=CallKind.SHEET,
+        path=f'/services/{service}{path}/{name}',
+        method='GET',
+    )
+
+
+def judge(call: Call, answer: Answer) -> Judgement:
+    """Compare an answer with what the endpoint must have said."""
+    if answer.fault:
+        return Judgement(Outcome.BROKEN, answer.fault)
+    if answer.status >= _MIN_ERROR_STATUS:
+        return _judge_refusal(answer)
+    judge_kind = _judge_completion
+    if call.kind in {CallKind.BOOKING, CallKind.SHEET}:
+        judge_kind = _judge_service
+    elif call.streaming:
+        judge_kind = _judge_stream
+    try:
+        return judge_kind(call, answer)
+    except (msgspec.DecodeError, LookupError, TypeError) as fault:
+        return Judgement(Outcome.WRONG, f'{fault!r} in {answer.content!r}')
+
+
+def _judge_refusal(answer: Answer) -> Judgement:
+    try:
+        error = msgspec.json.decode(answer.content)['error']
+        code = str(error['code'])
+    except (msgspec.DecodeError, KeyError, TypeError):
+        code = f'status {answer.status}'
+    executed = answer.headers.get('x-executed', 'unknown')
+    outcome = Outcome.REFUSED if executed == 'no' else Outcome.FAILED
+    wait_ms = int(answer.headers.get('retry-after-ms', '0'))
+    return Judgement(outcome, code, wait_ms)
+
+
+def _judge_service(call: Call, answer: Answer) -> Judgement:
+    document = msgspec.json.decode(answer.content)
+    service_path = '/' + call.path.split('/', 3)[3]
+    right = (
+        document.get('path') == service_path
+        and document.get('body_digest') == body_digest(call.body)
+        and document.get('sheet') == sheet_text(service_path)
+    )
+    if right:
+        return Judgement(Outcome.COMPLETE)
+    return Judgement(Outcome.WRONG, f'got {document}')
+
+
+def _judge_completion(call: Call, answer: Answer) -> Judgement:
+    request = msgspec.json.decode(call.body)
+    document = msgspec.json.decode(answer.content)
+    text = document['choices'][0]['message']['content']
+    if text == expected_answer(request):
+        return Judgement(Outcome.COMPLETE)
+    return Judgement(Outcome.WRONG, f'got {text!r}')
+
+
+def _judge_stream(call: Call, answer: Answer) -> Judgement:
+    request = msgspec.json.decode(call.body)
+    events, error = _events(answer.content)
+    text = ''.join(_delta(event) for event in events)
+    expected = expected_answer(request)
+    if not expected.startswith(text):
+        return Judgement(Outcome.WRONG, f'got {text!r}')
+    if error:
+        return Judgement(Outcome.FAILED, error)
+    if not answer.content.endswith(b'data: [DONE]\n\n'):
+        return Judgement(Outcome.BROKEN, 'no end mark')
+    if text != expected:
+        return Judgement(Outcome.WRONG, 'end mark after a partial answer')
+    usage = events[-1].get('usage') or {}
+    if usage.get('completion_tokens') != output_tokens(request):
+        return Judgement(Outcome.WRONG, f'usage {usage}')
+    return Judgement(Outcome.COMPLETE)
+
+
+def _events(content: bytes) -> tuple[list[_Event], str]:
+    """Return the data events and the code of an error event."""
+    events: list[_Event] = []
+    error = ''
+    for block in content.split(b'\n\n'):
+        lines = block.split(b'\n')
+        payloads = [line[6:] for line in lines if line.startswith(b'data: ')]
+        if not payloads or payloads[0] == b'[DONE]':
+            continue
+        event = msgspec.json.decode(payloads[0])
+        fault = event.get('error')
+        if fault is None:
+            events.append(event)
+        else:
+            error = str(fault.get('code', 'error'))
+    return events, error
+
+
+def _delta(event: dict[str, Any]) -> str:
+    choices = event.get('choices') or [{}]
+    return str(choices[0].get('delta', {}).get('content') or '')
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/fleet_plan.py
@@ -0,0 +1,165 @@
+"""Describe fleets and the two deployments."""
+
+from typing import Any
+
+import msgspec
+
+from baobabwharf_testkit.endpoint_model import EndpointKind
+
+
+class VmPlan(msgspec.Struct, frozen=True):
+    """Describe one VM."""
+
+    vm_id: str
+    region: str
+    zone: str
+    has_disk: bool = False
+
+
+class EndpointPlan(msgspec.Struct, frozen=True):
+    """Describe one stand-in endpoint; extra holds further settings."""
+
+    endpoint_id: str
+    service: str
+    region: str
+    kind: EndpointKind
+    extra: dict[str, Any] = {}
+
+
+class LinkPlan(msgspec.Struct, frozen=True):
+    """Describe the link between any two regions."""
+
+    delay_ms: float = 20.0
+    bandwidth_mbit_s: float = 1000.0
+
+
+class FleetPlan(msgspec.Struct, frozen=True):
+    """Describe a whole fleet."""
+
+    vms: tuple[VmPlan, ...]
+    endpoints: tuple[EndpointPlan, ...] = ()
+    link: LinkPlan = LinkPlan()
+    # Routes the links between VMs through fault proxies.
+    proxied: bool = False
+    tls: bool = False
+    drain_deadline_ms: int = 10_000
+    log_level: str = 'INFO'
+
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """Return the regions in the order of the VMs."""
+        return tuple(dict.fromkeys(vm.region for vm in self.vms))
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """Return the ids of the VMs with a disk."""
+        return tuple(vm.vm_id for vm in self.vms if vm.has_disk)
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Describe the regions, services and classes of work of a deployment."""
+
+    name: str
+    regions: tuple[str, ...]
+    model_service: str
+    models_by_region: tuple[int, ...]
+    plain_service: str
+    link: LinkPlan
+    booking_path: str
+    sheet_path: str
+    # Class of work, time to first token and whole time in ms, share away.
+    targets: tuple[tuple[str, int, int, float], ...]
+
+
+ROTAWEN = Deployment(
+    name='Rotawen',
+    regions=('tunis-a', 'sfax-a', 'sousse-a'),
+    model_service='rota-model',
+    models_by_region=(2, 2, 2),
+    plain_service='rota-app',
+    link=LinkPlan(delay_ms=25.0, bandwidth_mbit_s=1000.0),
+    booking_path='/bookings',
+    sheet_path='/sheets',
+    targets=(
+        ('interactive', 2000, 10_000, 0.5),
+        ('batch', 60_000, 300_000, 0.8),
+    ),
+)
+SAMITI = Deployment(
+    name='Samiti',
+    regions=('darjeeling-a', 'kalimpong-a', 'kurseong-a'),
+    model_service='roof-assistant',
+    models_by_region=(2, 2, 1),
+    plain_service='dispatch-desk',
+    link=LinkPlan(delay_ms=30.0, bandwidth_mbit_s=40.0),
+    booking_path='/dispatches',
+    sheet_path='/jobs',
+    targets=(
+        ('interactive', 4000, 15_000, 0.2),
+        ('batch', 120_000, 600_000, 0.2),
+    ),
+)
+
+
+def deployment_vms(deployment: Deployment, each: int = 2) -> tuple[VmPlan, ...]:
+    """Return the VMs; the first one of each region has a disk."""
+    return tuple(
+        VmPlan(
+            vm_id=f'{region}-vm{number}',
+            region=region,
+            zone=f'{region}-z{number}',
+            has_disk=number == 1,
+        )
+        for region in deployment.regions
+        for number in range(1, each + 1)
+    )
+
+
+def deployment_endpoints(
+    deployment: Deployment, tokens_per_s: float = 100.0
+) -> tuple[EndpointPlan, ...]:
+    """Return the engines of each region and one plain service in each."""
+    plans = []
+    for region, count in zip(
+        deployment.regions, deployment.models_by_region, strict=True
+    ):
+        for number in range(1, count + 1):
+            plans.append(engine_plan(deployment, region, number, tokens_per_s))
+        plans.append(
+            EndpointPlan(
+                endpoint_id=f'{deployment.plain_service}-{region}',
+                service=deployment.plain_service,
+                region=region,
+                kind=EndpointKind.SERVICE,
+            )
+        )
+    return tuple(plans)
+
+
+def engine_plan(
+    deployment: Deployment, region: str, number: int, tokens_per_s: float
+) -> EndpointPlan:
+    """Return one engine; its model has the name of the service."""
+    return EndpointPlan(
+        endpoint_id=f'{deployment.model_service}-{region}-{number}',
+        service=deployment.model_service,
+        region=region,
+        kind=EndpointKind.ENGINE,
+        extra={
+            'models': [deployment.model_service],
+            'tokens_per_s': tokens_per_s,
+        },
+    )
+
+
+def deployment_plan(
+    deployment: Deployment, proxied: bool = False, tls: bool = False
+) -> FleetPlan:
+    """Return the fleet of a deployment: six VMs and all its endpoints."""
+    return FleetPlan(
+        vms=deployment_vms(deployment),
+        endpoints=deployment_endpoints(deployment),
+        link=deployment.link,
+        proxied=proxied,
+        tls=tls,
+    )
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/load.py
@@ -0,0 +1,214 @@
+"""Send calls as a caller that follows the list of entry VMs."""
+
+import asyncio
+import random
+import ssl
+import time
+from collections import Counter
+
+import aiohttp
+import msgspec
+
+from baobabwharf_testkit.calls import (
+    Answer,
+    Call,
+    CallKind,
+    Judgement,
+    Outcome,
+    judge,
+)
+
+_NS_PER_MS = 1_000_000
+_MS_PER_S = 1000
+_CALL_TIMEOUT_S = 60.0
+_LIST_TIMEOUT_S = 2.0
+_BACKOFF_MS = 100
+_MAX_WAIT_MS = 2000
+_OK = 200
+_FAILURES = (
+    aiohttp.ClientError,
+    OSError,
+    asyncio.TimeoutError,
+    msgspec.MsgspecError,
+)
+# Refusals after which a caller tries again; the others are final.
+_PASSING = frozenset(
+    (
+        'rate_exceeded',
+        'queue_full',
+        'deadline_unreachable',
+        'no_endpoint',
+        'link_saturated',
+        'region_unreachable',
+        'vm_stopping',
+        'vm_not_ready',
+        'retry_budget_empty',
+        'claim_unavailable',
+        'claim_running',
+        'endpoint_failed',
+    )
+)
+
+
+class EntryVms:
+    """Follow GET /v1/entry-vms and fall back to the URLs given at start."""
+
+    def __init__(self, seeds: tuple[str, ...], region: str) -> None:
+        self._seeds = list(seeds)
+        self._region = region
+        self._ranked: list[str] = []
+        self._valid_until_ms = 0.0
+
+    def drop(self, url: str) -> None:
+        """Forget a VM until the next list names it again."""
+        self._ranked = [other for other in self._ranked if other != url]
+        self._seeds = [other for other in self._seeds if other != url] + [url]
+        self._valid_until_ms = 0.0
+
+    async def choose(self, session: aiohttp.ClientSession) -> str:
+        """Return the URL of the VM to use now."""
+        if _now_ms() > self._valid_until_ms or not self._ranked:
+            await self._refresh(session)
+        return self._ranked[0] if self._ranked else self._seeds[0]
+
+    async def _refresh(self, session: aiohttp.ClientSession) -> None:
+        timeout = aiohttp.ClientTimeout(total=_LIST_TIMEOUT_S)
+        for url in (*self._ranked, *self._seeds):
+            try:
+                async with session.get(
+                    f'{url}/v1/entry-vms?region={self._region}',
+                    timeout=timeout,
+                ) as answer:
+                    document = await answer.json()
+                    found = answer.status == _OK
+            except _FAILURES:
+                continue
+            if found and document['vms']:
+                self._ranked = [vm['url'] for vm in document['vms']]
+                self._valid_until_ms = _now_ms() + document['valid_ms']
+                return
+
+
+class Statistics:
+    """Count outcomes and hold times for each kind of call."""
+
+    def __init__(self) -> None:
+        self.outcomes: dict[CallKind, Counter[Outcome]] = {}
+        self.reasons: Counter[str] = Counter()
+        self.first_token_ms: dict[CallKind, list[float]] = {}
+        self.total_ms: dict[CallKind, list[float]] = {}
+        self.wrong: list[str] = []
+
+    def record(self, call: Call, judgement: Judgement, answer: Answer) -> None:
+        """Count one call by its last answer."""
+        kind = call.kind
+        self.outcomes.setdefault(kind, Counter())[judgement.outcome] += 1
+        if judgement.outcome is Outcome.WRONG:
+            self.wrong.append(f'{call.path}: {judgement.reason}')
+        if judgement.outcome is not Outcome.COMPLETE:
+            self.reasons[f'{kind.value}: {judgement.reason}'] += 1
+            return
+        self.total_ms.setdefault(kind, []).append(answer.total_ms)
+        if answer.first_token_ms is not None:
+            first = self.first_token_ms.setdefault(kind, [])
+            first.append(answer.first_token_ms)
+
+    def count(self, *outcomes: Outcome) -> int:
+        """Return the number of calls with these outcomes."""
+        return sum(
+            counts[outcome]
+            for counts in self.outcomes.values()
+            for outcome in outcomes
+        )
+
+
+class Caller:
+    """Send the calls of one customer from one region."""
+
+    def __init__(
+        self,
+        key: str,
+        entries: EntryVms,
+        context: ssl.SSLContext | bool,
+        seed: int,
+    ) -> None:
+        self._entries = entries
+        self._random = random.Random(seed)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(ssl=context, limit=0),
+            timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S),
+        )
+        self._headers = {'Authorization': f'Bearer {key}'}
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def perform(
+        self, call: Call, patience_ms: float = 10_000
+    ) -> tuple[Judgement, Answer]:
+        """Send a call; repeat it while that is safe and patience lasts."""
+        end = _now_ms() + patience_ms
+        while True:
+            answer = await self.send(call)
+            judgement = judge(call, answer)
+            again = _may_repeat(call, judgement)
+            if not again or _now_ms() > end:
+                return judgement, answer
+            if judgement.outcome is Outcome.BROKEN:
+                self._entries.drop(answer.vm_url)
+            if judgement.reason in {'vm_stopping', 'vm_not_ready'}:
+                self._entries.drop(answer.vm_url)
+            await asyncio.sleep(self._wait_ms(judgement) / _MS_PER_S)
+
+    async def send(self, call: Call) -> Answer:
+        """Send a call once and return what was received."""
+        answer = Answer(vm_url=await self._entries.choose(self._session))
+        started = _now_ms()
+        try:
+            await self._exchange(call, answer, started)
+        except _FAILURES as fault:
+            answer.fault = repr(fault)
+        answer.total_ms = _now_ms() - started
+        return answer
+
+    async def _exchange(
+        self, call: Call, answer: Answer, started: float
+    ) -> None:
+        async with self._session.request(
+            call.method,
+            answer.vm_url + call.path,
+            data=call.body or None,
+            headers=self._headers | call.headers,
+        ) as response:
+            answer.status = response.status
+            answer.headers = {
+                name.lower(): text for name, text in response.headers.items()
+            }
+            parts = []
+            async for chunk in response.content.iter_any():
+                if answer.first_token_ms is None:
+                    answer.first_token_ms = _now_ms() - started
+                parts.append(chunk)
+            answer.content = b''.join(parts)
+
+    def _wait_ms(self, judgement: Judgement) -> float:
+        if judgement.retry_after_ms:
+            return min(judgement.retry_after_ms, _MAX_WAIT_MS)
+        return self._random.uniform(_BACKOFF_MS / 2, _BACKOFF_MS)
+
+
+def _may_repeat(call: Call, judgement: Judgement) -> bool:
+    outcome = judgement.outcome
+    if outcome is Outcome.REFUSED:
+        return judgement.reason in _PASSING
+    if outcome in {Outcome.BROKEN, Outcome.FAILED}:
+        # An idempotency key makes a resend safe; reads always are.
+        keyed = 'Idempotency-Key' in call.headers
+        final = judgement.reason == 'claim_unknown'
+        return (keyed and not final) or call.method == 'GET'
+    return False
+
+
+def _now_ms() -> float:
+    return time.monotonic_ns() / _NS_PER_MS
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/processes.py
@@ -0,0 +1,94 @@
+"""Start, signal and stop child processes by their pid."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import IO
+
+_KILL_WAIT_S = 5.0
+_MS_PER_S = 1000
+
+
+class ManagedProcess:
+    """Run one Python module as a process with its log in a file."""
+
+    def __init__(self, module: str, arguments: list[str], log: Path) -> None:
+        self._command = [sys.executable, '-m', module, *arguments]
+        self._log = log
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the pid of the running process, or 0."""
+        return self._process.pid if self._process else 0
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process runs or is frozen."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, or None while it runs."""
+        return self._process.poll() if self._process else None
+
+    @property
+    def log(self) -> Path:
+        """Return the path of the log."""
+        return self._log
+
+    def start(self) -> None:
+        """Start the process; its output is added to the log."""
+        with self._log.open('ab') as output:
+            self._process = self._spawn(output)
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process still runs."""
+        if self.running:
+            os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait(_KILL_WAIT_S)
+
+    def freeze(self) -> None:
+        """Stop the process from running until it is thawed."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process run again."""
+        self.send(signal.SIGCONT)
+
+    async def wait(self, timeout_ms: int) -> int | None:
+        """Return the exit code, or None if it still runs at the timeout."""
+        process = self._process
+        if process is None:
+            return None
+        try:
+            return await asyncio.to_thread(process.wait, timeout_ms / _MS_PER_S)
+        except subprocess.TimeoutExpired:
+            return None
+
+    async def terminate(self, timeout_ms: int) -> int | None:
+        """Ask for a graceful stop; kill after the timeout, code None."""
+        self.send(signal.SIGTERM)
+        self.thaw()
+        code = await self.wait(timeout_ms)
+        if code is None:
+            self.kill()
+        return code
+
+    def _spawn(self, output: IO[bytes]) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            self._command,
+            stdin=subprocess.DEVNULL,
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            # A signal to the terminal's group must not end the fleet early.
+            start_new_session=True,
+        )
