Add the operator command line

Cause: operators need customers, keys, targets, routes and the state of the fleet without writing HTTP calls. Not yet run against a daemon.

--- /dev/null
+++ b/packages/cli/src/baobabwharf_cli/keys.py
@@ -0,0 +1,146 @@
+"""Create, list and withdraw keys of customers and endpoints."""
+
+import hashlib
+import secrets
+
+from baobabwharf_core.changes import (
+    Change,
+    CreateEndpointKey,
+    CreateKey,
+    WithdrawEndpointKey,
+    WithdrawKey,
+)
+from baobabwharf_core.ids import CustomerId, KeyId, ServiceId
+from baobabwharf_core.model import EndpointKeyRecord, FleetConfig, KeyRecord
+from cleo.helpers import argument, option
+
+from baobabwharf_cli.command import (
+    CHANGE_OPTIONS,
+    ChangeCommand,
+    OperatorCommand,
+    read_file,
+)
+from baobabwharf_cli.exit_codes import ExitCode
+
+_Listed = tuple[str, str, str, bool]
+
+_KEY_BYTES = 32
+_HEADERS = ['of', 'name', 'key_id', 'withdrawn']
+_ID_BYTES = 6
+_KEY_ID = argument('key', 'Id of the key.')
+_CREATE_OPTIONS = [
+    *CHANGE_OPTIONS,
+    option('id', None, 'Id of the key; default random.', flag=False),
+    option(
+        'key-file',
+        None,
+        'File with the key, to resend a change whose outcome is unknown.',
+        flag=False,
+    ),
+]
+
+
+class _CreateCommand(ChangeCommand):
+    """Make a key here; only its digest leaves this program."""
+
+    options = _CREATE_OPTIONS
+
+    def perform(self) -> ExitCode:
+        """Submit the digest and print the key once."""
+        key = self._key()
+        digest = hashlib.sha256(key.encode()).digest()
+        key_id = KeyId(self.option('id') or f'k-{secrets.token_hex(_ID_BYTES)}')
+        shown = {'key_id': key_id, 'key': key}
+        return self.submit(self.record(key_id, digest), shown)
+
+    def record(self, key_id: KeyId, digest: bytes) -> Change:
+        """Return the change that records the digest."""
+        raise NotImplementedError
+
+    def _key(self) -> str:
+        path = self.option('key-file')
+        if path:
+            return read_file(path).decode().strip()
+        return secrets.token_urlsafe(_KEY_BYTES)
+
+
+class CreateKeyCommand(_CreateCommand):
+    """Create a key of a customer and print it once."""
+
+    name = 'key create'
+    description = 'Create a key of a customer and print it once.'
+    arguments = [argument('customer', 'Id of the customer.')]
+
+    def record(self, key_id: KeyId, digest: bytes) -> Change:
+        """Return the change that records the digest."""
+        customer_id = CustomerId(self.argument('customer'))
+        return CreateKey(KeyRecord(key_id, customer_id, digest))
+
+
+class CreateEndpointKeyCommand(_CreateCommand):
+    """Create a key with which endpoints announce a service."""
+
+    name = 'endpoint-key create'
+    description = 'Create a key with which endpoints announce a service.'
+    arguments = [argument('service', 'Name of the service.')]
+
+    def record(self, key_id: KeyId, digest: bytes) -> Change:
+        """Return the change that records the digest."""
+        service = ServiceId(self.argument('service'))
+        return CreateEndpointKey(EndpointKeyRecord(key_id, service, digest))
+
+
+class WithdrawKeyCommand(ChangeCommand):
+    """Withdraw a key for good."""
+
+    name = 'key withdraw'
+    description = 'Withdraw a key for good.'
+    arguments = [_KEY_ID]
+
+    def change(self) -> Change:
+        """Return the change that withdraws the key."""
+        return WithdrawKey(KeyId(self.argument('key')))
+
+
+class WithdrawEndpointKeyCommand(ChangeCommand):
+    """Withdraw an endpoint key for good."""
+
+    name = 'endpoint-key withdraw'
+    description = 'Withdraw an endpoint key for good.'
+    arguments = [_KEY_ID]
+
+    def change(self) -> Change:
+        """Return the change that withdraws the key."""
+        return WithdrawEndpointKey(KeyId(self.argument('key')))
+
+
+class ListKeysCommand(OperatorCommand):
+    """List the keys of all customers or endpoints without their digests."""
+
+    name = 'key list'
+    description = 'List the keys of customers and endpoints.'
+
+    def perform(self) -> ExitCode:
+        """Print all keys."""
+        read = self.api.config()
+        if read.is_error():
+            return self.fail(read.error)
+        keys = sorted(_listed(read.ok))
+        document = [dict(zip(_HEADERS, key, strict=True)) for key in keys]
+        rows = [
+            [kind, name, key_id, 'yes' if withdrawn else 'no']
+            for kind, name, key_id, withdrawn in keys
+        ]
+        return self.show(document, _HEADERS, rows)
+
+
+def _listed(config: FleetConfig) -> list[_Listed]:
+    keys: list[_Listed] = [
+        ('customer', key.customer_id, key.key_id, key.withdrawn)
+        for key in config.keys.values()
+    ]
+    keys.extend(
+        ('service', key.service, key.key_id, key.withdrawn)
+        for key in config.endpoint_keys.values()
+    )
+    return keys
