--- a/packages/cli/src/baobabwharf_cli/fleet.py
+++ b/packages/cli/src/baobabwharf_cli/fleet.py
@@ -72,14 +72,12 @@
         read = self.api.get(f'{REQUESTS_PATH}/{request_id}')
         if read.is_error():
             return self.fail(read.error)
-        picked = pick(read.ok, 'sentences')
-        if picked.is_error():
-            return self.fail(picked.error)
         if self.option('json'):
             self.print_json(read.ok)
             return ExitCode.DONE
-        for sentence in picked.ok:
-            self.say(str(sentence))
+        for part in ('record', 'decisions'):
+            for sentence in read.ok.get(part, ()):
+                self.say(str(sentence))
         return ExitCode.DONE
 
 
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/demo.py
@@ -0,0 +1,267 @@
+"""Start a fleet, run both deployments' workloads and print one table."""
+
+import argparse
+import asyncio
+import shutil
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+
+from baobabwharf_testkit.calls import CallKind, Outcome
+from baobabwharf_testkit.demo_state import (
+    describe_fleet,
+    running_pids,
+    stop_pids,
+    write_state,
+)
+from baobabwharf_testkit.evidence import collect_evidence
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.fleet_plan import (
+    ROTAWEN,
+    SAMITI,
+    Deployment,
+    FleetPlan,
+    deployment_endpoints,
+    region_vms,
+)
+from baobabwharf_testkit.fleet_setup import set_up_customers, set_up_services
+from baobabwharf_testkit.load import Caller, EntryVms, Statistics
+from baobabwharf_testkit.readiness import FleetError
+from baobabwharf_testkit.tables import format_ms, format_table, percentile
+from baobabwharf_testkit.workload import (
+    CallMaker,
+    CustomerPlan,
+    deployment_customers,
+)
+
+FOLDER = Path('build') / 'demo'
+FLEET_FILE = FOLDER / 'fleet.json'
+_DEPLOYMENTS = (ROTAWEN, SAMITI)
+_REGIONS = ROTAWEN.regions
+_CALLS_EACH = 24
+_CALLERS_EACH = 4
+_SEED = 1
+_HEADERS = (
+    'deployment',
+    'work',
+    'sent',
+    'complete',
+    'refused',
+    'failed',
+    'broken',
+    'wrong',
+    'first p50 ms',
+    'first p99 ms',
+    'whole p50 ms',
+    'whole p99 ms',
+)
+_COUNTED = (
+    Outcome.COMPLETE,
+    Outcome.REFUSED,
+    Outcome.FAILED,
+    Outcome.BROKEN,
+    Outcome.WRONG,
+)
+
+
+class Demo:
+    """Run the steps of the demo on one fleet."""
+
+    def __init__(self, folder: Path) -> None:
+        plan = FleetPlan(vms=region_vms(_REGIONS), link=ROTAWEN.link)
+        self._fleet = Fleet(plan, folder, _SEED)
+        self._customers: list[CustomerPlan] = []
+        self._keys: dict[str, str] = {}
+        self._statistics: dict[str, Statistics] = {}
+        self._faults: list[str] = []
+
+    @property
+    def faults(self) -> list[str]:
+        """Return the sentences that say what went wrong."""
+        return self._faults
+
+    async def prepare(self) -> None:
+        """Start daemons and endpoints and create the configuration."""
+        started = time.monotonic()
+        await self._fleet.start()
+        _say(f'{len(self._fleet.vms)} daemons are ready', started)
+        operator = self._fleet.operator()
+        try:
+            for deployment in _DEPLOYMENTS:
+                await set_up_services(self._fleet, operator, deployment)
+                customers = deployment_customers(deployment, _REGIONS)
+                self._customers.extend(customers)
+                self._keys.update(await set_up_customers(operator, customers))
+        finally:
+            await operator.close()
+        _say('The configuration is in force on all VMs', started)
+        for deployment in _DEPLOYMENTS:
+            for plan in deployment_endpoints(deployment, _REGIONS):
+                self._fleet.add_endpoint(plan)
+        await self._fleet.wait_registered(*self._fleet.endpoints)
+        _say(f'{len(self._fleet.endpoints)} endpoints announced', started)
+
+    async def run(self) -> None:
+        """Send the workload of one deployment after the other."""
+        for deployment in _DEPLOYMENTS:
+            started = time.monotonic()
+            statistics = Statistics()
+            self._statistics[deployment.name] = statistics
+            customers = deployment_customers(deployment, _REGIONS)
+            await asyncio.gather(
+                *(
+                    self._run_customer(deployment, plan, statistics)
+                    for plan in customers
+                )
+            )
+            _say(f'The workload of {deployment.name} is done', started)
+
+    async def judge(self) -> None:
+        """Print the table and collect what went wrong."""
+        rows = [
+            row
+            for name, statistics in self._statistics.items()
+            for row in _rows(name, statistics)
+        ]
+        print(format_table(_HEADERS, rows))
+        for name, statistics in self._statistics.items():
+            for reason, count in statistics.reasons.items():
+                self._faults.append(f'{name}: {count} x {reason}')
+            self._faults.extend(statistics.wrong)
+        await self._judge_endpoints()
+
+    async def stop(self) -> None:
+        """Stop everything gracefully."""
+        started = time.monotonic()
+        codes = await self._fleet.stop()
+        _say(f'{len(codes)} processes stopped', started)
+        for name, code in codes.items():
+            if code != 0:
+                self._faults.append(f'{name} ended with code {code}.')
+
+    def abandon(self) -> None:
+        """End every process at once after a failure."""
+        self._fleet.kill_all()
+
+    def keep(self) -> None:
+        """Write the file that describes the running fleet."""
+        state = describe_fleet(self._fleet, self._customers, self._keys)
+        write_state(FLEET_FILE, state)
+        print(f'The fleet is described in {FLEET_FILE}.')
+
+    async def _run_customer(
+        self,
+        deployment: Deployment,
+        plan: CustomerPlan,
+        statistics: Statistics,
+    ) -> None:
+        caller = Caller(
+            self._keys[plan.customer_id],
+            EntryVms(self._fleet.urls, plan.region),
+            self._fleet.files.context,
+            _SEED,
+        )
+        maker = CallMaker(deployment, plan.customer_id, _SEED)
+        # Each kind at least once, whatever the seed draws.
+        calls = [maker.make_kind(kind) for kind in CallKind]
+        calls += [maker.make() for _ in range(_CALLS_EACH - len(calls))]
+
+        async def work() -> None:
+            while calls:
+                call = calls.pop()
+                judgement, answer = await caller.perform(call)
+                statistics.record(call, judgement, answer)
+
+        await asyncio.gather(*(work() for _ in range(_CALLERS_EACH)))
+        await caller.close()
+
+    async def _judge_endpoints(self) -> None:
+        evidence = await collect_evidence(
+            self._fleet, list(self._keys.values())
+        )
+        print(
+            f'{evidence.runs.total()} bookings ran, '
+            f'{len(evidence.repeated)} of them more than once; '
+            f'{evidence.requests_seen} requests reached the endpoints, '
+            f'{evidence.requests_with_key} of them with a key of a caller.'
+        )
+        complete = sum(
+            counts.outcomes[CallKind.BOOKING][Outcome.COMPLETE]
+            for counts in self._statistics.values()
+        )
+        if len(evidence.runs) < complete:
+            self._faults.append('A confirmed booking did not run.')
+        if evidence.repeated:
+            self._faults.append('A booking ran more than once.')
+        if evidence.requests_with_key:
+            self._faults.append('An endpoint saw a key of a caller.')
+
+
+def _rows(name: str, statistics: Statistics) -> list[list[str]]:
+    rows = []
+    for kind, counts in statistics.outcomes.items():
+        first = statistics.first_token_ms.get(kind, [])
+        whole = statistics.total_ms.get(kind, [])
+        rows.append(
+            [
+                name,
+                kind.value,
+                str(counts.total()),
+                *(str(counts[outcome]) for outcome in _COUNTED),
+                format_ms(percentile(first, 0.5)),
+                format_ms(percentile(first, 0.99)),
+                format_ms(percentile(whole, 0.5)),
+                format_ms(percentile(whole, 0.99)),
+            ]
+        )
+    return rows
+
+
+def _say(sentence: str, started: float) -> None:
+    print(f'{sentence} after {time.monotonic() - started:.1f} s.', flush=True)
+
+
+async def _run(keep: bool) -> int:
+    shutil.rmtree(FOLDER, ignore_errors=True)
+    FOLDER.mkdir(parents=True)
+    demo = Demo(FOLDER.resolve())
+    try:
+        await demo.prepare()
+        await demo.run()
+        await demo.judge()
+    except BaseException as fault:
+        demo.abandon()
+        if not isinstance(fault, FleetError):
+            raise
+        print(f'The demo failed: {fault}', file=sys.stderr)
+        return 1
+    if keep:
+        demo.keep()
+    else:
+        await demo.stop()
+    for sentence in demo.faults:
+        print(f'FAULT: {sentence}')
+    return 1 if demo.faults else 0
+
+
+def main() -> int:
+    """Run, keep or stop the demo fleet."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--keep', action='store_true', help='leave it running')
+    parser.add_argument('--stop', action='store_true', help='stop it')
+    chosen = parser.parse_args()
+    if chosen.stop:
+        stopped = stop_pids(FLEET_FILE)
+        print('The fleet is stopped.' if stopped else 'Processes still run.')
+        return 0 if stopped else 1
+    if running_pids(FLEET_FILE):
+        print('A demo fleet still runs; stop it with --stop first.')
+        return 2
+    print(f'Seed {_SEED}.')
+    return uvloop.run(_run(chosen.keep))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/demo_state.py
@@ -0,0 +1,105 @@
+"""Remember a demo fleet that was left running and stop it later."""
+
+import os
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.workload import CustomerPlan
+
+_STOP_S = 20.0
+_POLL_S = 0.1
+
+
+def describe_fleet(
+    fleet: Fleet, customers: list[CustomerPlan], keys: dict[str, str]
+) -> dict[str, Any]:
+    """Return what a person or a test needs to use the fleet."""
+    vms = list(fleet.vms.values())
+    return {
+        'vms': [
+            {
+                'id': vm.plan.vm_id,
+                'region': vm.plan.region,
+                'zone': vm.plan.zone,
+                'url': vm.url,
+                'operator_url': vm.operator_url,
+                'pid': vm.process.pid,
+                'data': _absolute(vm.data_folder),
+            }
+            for vm in vms
+        ],
+        'endpoints': [
+            {
+                'id': name,
+                'service': unit.plan.service,
+                'region': unit.plan.region,
+                'url': unit.url,
+                'pid': unit.process.pid,
+            }
+            for name, unit in fleet.endpoints.items()
+        ],
+        'customers': [
+            {
+                'id': plan.customer_id,
+                'key': keys[plan.customer_id],
+                'region': plan.region,
+            }
+            for plan in customers
+        ],
+        'operator': {
+            'url': vms[0].operator_url,
+            'token': fleet.files.operator_token,
+        },
+        'ca': _absolute(fleet.files.ca_file),
+    }
+
+
+def write_state(path: Path, state: dict[str, Any]) -> None:
+    """Write the state so that only its owner can read the keys in it."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.touch(mode=0o600)
+    encoded = msgspec.json.encode(state)
+    path.write_bytes(msgspec.json.format(encoded, indent=2))
+
+
+def running_pids(path: Path) -> list[int]:
+    """Return the pids of a state file that are still processes of a fleet."""
+    if not path.exists():
+        return []
+    state = msgspec.json.decode(path.read_bytes())
+    entries = state['endpoints'] + state['vms']
+    return [entry['pid'] for entry in entries if _is_ours(entry['pid'])]
+
+
+def stop_pids(path: Path) -> bool:
+    """End exactly the processes of a state file; tell whether they ended."""
+    waiting = running_pids(path)
+    for pid in waiting:
+        os.kill(pid, signal.SIGTERM)
+    end = time.monotonic() + _STOP_S
+    while waiting and time.monotonic() < end:
+        time.sleep(_POLL_S)
+        waiting = running_pids(path)
+    if not waiting:
+        path.unlink(missing_ok=True)
+    return not waiting
+
+
+def _is_ours(pid: int) -> bool:
+    """Tell whether a pid still belongs to a program of this project."""
+    try:
+        status = Path(f'/proc/{pid}/stat').read_text()
+        command = Path(f'/proc/{pid}/cmdline').read_bytes()
+    except OSError:
+        return False
+    ended = status.rpartition(')')[2].split()[0] == 'Z'
+    return not ended and b'baobabwharf_' in command
+
+
+def _absolute(path: Path | str | None) -> str | None:
+    return str(Path(path).resolve()) if path else None
--- a/packages/testkit/src/baobabwharf_testkit/fleet_plan.py
+++ b/packages/testkit/src/baobabwharf_testkit/fleet_plan.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 import msgspec
+from baobabwharf_core.ids import WorkClass
+from baobabwharf_core.model import Target
 
 from baobabwharf_testkit.endpoint_model import EndpointKind
 
@@ -37,7 +39,6 @@
     """Describe a whole fleet."""
 
     vms: tuple[VmPlan, ...]
-    endpoints: tuple[EndpointPlan, ...] = ()
     link: LinkPlan = LinkPlan()
     # Routes the links between VMs through fault proxies.
     proxied: bool = False
@@ -62,46 +63,42 @@
     name: str
     regions: tuple[str, ...]
     model_service: str
-    models_by_region: tuple[int, ...]
+    engines_by_region: tuple[int, ...]
     plain_service: str
     link: LinkPlan
     booking_path: str
     sheet_path: str
-    # Class of work, time to first token and whole time in ms, share away.
-    targets: tuple[tuple[str, int, int, float], ...]
+    interactive: Target
+    batch: Target
 
 
 ROTAWEN = Deployment(
     name='Rotawen',
     regions=('tunis-a', 'sfax-a', 'sousse-a'),
     model_service='rota-model',
-    models_by_region=(2, 2, 2),
+    engines_by_region=(2, 2, 2),
     plain_service='rota-app',
     link=LinkPlan(delay_ms=25.0, bandwidth_mbit_s=1000.0),
     booking_path='/bookings',
     sheet_path='/sheets',
-    targets=(
-        ('interactive', 2000, 10_000, 0.5),
-        ('batch', 60_000, 300_000, 0.8),
-    ),
+    interactive=Target(WorkClass('interactive'), 2000, 10_000, 0.5),
+    batch=Target(WorkClass('batch'), 60_000, 300_000, 0.8),
 )
 SAMITI = Deployment(
     name='Samiti',
     regions=('darjeeling-a', 'kalimpong-a', 'kurseong-a'),
     model_service='roof-assistant',
-    models_by_region=(2, 2, 1),
+    engines_by_region=(2, 2, 1),
     plain_service='dispatch-desk',
     link=LinkPlan(delay_ms=30.0, bandwidth_mbit_s=40.0),
     booking_path='/dispatches',
     sheet_path='/jobs',
-    targets=(
-        ('interactive', 4000, 15_000, 0.2),
-        ('batch', 120_000, 600_000, 0.2),
-    ),
+    interactive=Target(WorkClass('samiti-interactive'), 4000, 15_000, 0.2),
+    batch=Target(WorkClass('samiti-batch'), 120_000, 600_000, 0.2),
 )
 
 
-def deployment_vms(deployment: Deployment, each: int = 2) -> tuple[VmPlan, ...]:
+def region_vms(regions: tuple[str, ...], each: int = 2) -> tuple[VmPlan, ...]:
     """Return the VMs; the first one of each region has a disk."""
     return tuple(
         VmPlan(
@@ -110,32 +107,36 @@
             zone=f'{region}-z{number}',
             has_disk=number == 1,
         )
-        for region in deployment.regions
+        for region in regions
         for number in range(1, each + 1)
     )
 
 
 def deployment_endpoints(
-    deployment: Deployment, tokens_per_s: float = 100.0
+    deployment: Deployment,
+    regions: tuple[str, ...],
+    tokens_per_s: float = 100.0,
 ) -> tuple[EndpointPlan, ...]:
     """Return the engines of each region and one plain service in each."""
     plans = []
-    for region, count in zip(
-        deployment.regions, deployment.models_by_region, strict=True
-    ):
+    counts = zip(regions, deployment.engines_by_region, strict=True)
+    for region, count in counts:
         for number in range(1, count + 1):
             plans.append(engine_plan(deployment, region, number, tokens_per_s))
-        plans.append(
-            EndpointPlan(
-                endpoint_id=f'{deployment.plain_service}-{region}',
-                service=deployment.plain_service,
-                region=region,
-                kind=EndpointKind.SERVICE,
-            )
-        )
+        plans.append(service_plan(deployment, region))
     return tuple(plans)
 
 
+def service_plan(deployment: Deployment, region: str) -> EndpointPlan:
+    """Return the plain service of a region."""
+    return EndpointPlan(
+        endpoint_id=f'{deployment.plain_service}-{region}',
+        service=deployment.plain_service,
+        region=region,
+        kind=EndpointKind.SERVICE,
+    )
+
+
 def engine_plan(
     deployment: Deployment, region: str, number: int, tokens_per_s: float
 ) -> EndpointPlan:
@@ -150,16 +151,3 @@
             'tokens_per_s': tokens_per_s,
         },
     )
-
-
-def deployment_plan(
-    deployment: Deployment, proxied: bool = False, tls: bool = False
-) -> FleetPlan:
-    """Return the fleet of a deployment: six VMs and all its endpoints."""
-    return FleetPlan(
-        vms=deployment_vms(deployment),
-        endpoints=deployment_endpoints(deployment),
-        link=deployment.link,
-        proxied=proxied,
-        tls=tls,
-    )
