--- a/packages/testkit/src/baobabwharf_testkit/endpoint_control.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_control.py
@@ -62,7 +62,7 @@
 
     def record(self, request: web.Request) -> None:
         """Keep what arrived, except the calls of tests."""
-        if request.path in _UNRECORDED:
+        if request.path in _UNRECORDED or not self._settings.records_requests:
             return
         headers = request.headers
         seen = SeenRequest(
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_model.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_model.py
@@ -47,6 +47,8 @@
     leave_grace_ms: int = 1500
     # Announced in place of the listening URL, for links with faults.
     announced_url: str = ''
+    # Off for benchmarks, where the records would cost time.
+    records_requests: bool = True
     seed: int = 1
 
 
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/raw_client.py
@@ -0,0 +1,137 @@
+"""Send one prepared request again and again with little work for each."""
+
+import asyncio
+import time
+from typing import cast
+
+from hdrh.histogram import HdrHistogram
+
+_HIGHEST_US = 60_000_000
+_DIGITS = 3
+_NS_PER_US = 1000
+_NS_PER_S = 1_000_000_000
+_END_OF_BODY = b'0\r\n\r\n'
+_END_OF_STREAM = b'data: [DONE]'
+_TAIL_BYTES = 64
+
+
+class Measurement:
+    """Hold the times in us of complete streams and count the others."""
+
+    def __init__(self) -> None:
+        self.whole = HdrHistogram(1, _HIGHEST_US, _DIGITS)
+        self.first = HdrHistogram(1, _HIGHEST_US, _DIGITS)
+        self.failed = 0
+        self.sample = b''
+
+    @property
+    def complete(self) -> int:
+        """Return the number of complete streams."""
+        return int(self.whole.get_total_count())
+
+
+class _Stream(asyncio.Protocol):
+    """Send a request on one connection and read its answer."""
+
+    def __init__(self, request: bytes) -> None:
+        self._request = request
+        self._transport: asyncio.Transport | None = None
+        self._tail = b''
+        self._done: asyncio.Future[None] | None = None
+        self.first_ns = 0
+
+    @property
+    def tail(self) -> bytes:
+        """Return the end of the answer."""
+        return self._tail
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the connection is gone."""
+        return self._transport is None or self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Note the first bytes and look for the end of the body."""
+        if not self.first_ns:
+            self.first_ns = time.monotonic_ns()
+        self._tail = (self._tail + chunk)[-_TAIL_BYTES:]
+        if self._tail.endswith(_END_OF_BODY):
+            self._finish()
+
+    def connection_lost(self, fault: Exception | None) -> None:
+        """End the waiting stream."""
+        self._finish()
+
+    async def exchange(self) -> bool:
+        """Send the request; tell whether the stream came to its end mark."""
+        assert self._transport is not None
+        self._tail = b''
+        self.first_ns = 0
+        self._done = asyncio.get_running_loop().create_future()
+        self._transport.write(self._request)
+        await self._done
+        return _END_OF_STREAM in self._tail
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _finish(self) -> None:
+        if self._done is not None and not self._done.done():
+            self._done.set_result(None)
+
+
+async def measure(
+    ports: tuple[int, ...], request: bytes, streams: int, duration_s: float
+) -> Measurement:
+    """Keep a number of streams busy for a time in seconds."""
+    measurement = Measurement()
+    end = time.monotonic_ns() + int(duration_s * _NS_PER_S)
+    workers = (
+        _work(ports[number % len(ports)], request, end, measurement)
+        for number in range(streams)
+    )
+    await asyncio.gather(*workers)
+    return measurement
+
+
+async def _connect(port: int, request: bytes) -> _Stream:
+    loop = asyncio.get_running_loop()
+    _transport, stream = await loop.create_connection(
+        lambda: _Stream(request), '127.0.0.1', port
+    )
+    return stream
+
+
+async def _work(
+    port: int, request: bytes, end_ns: int, measurement: Measurement
+) -> None:
+    stream = _Stream(request)
+    while time.monotonic_ns() < end_ns:
+        if stream.closed:
+            stream = await _connect(port, request)
+        started = time.monotonic_ns()
+        complete = await stream.exchange()
+        if complete:
+            whole_ns = time.monotonic_ns() - started
+            measurement.whole.record_value(whole_ns // _NS_PER_US)
+            first_ns = stream.first_ns - started
+            measurement.first.record_value(first_ns // _NS_PER_US)
+        else:
+            measurement.failed += 1
+            measurement.sample = stream.tail
+            stream.close()
+    stream.close()
+
+
+def request_bytes(path: str, body: bytes, headers: dict[str, str]) -> bytes:
+    """Return a request that keeps its connection open."""
+    lines = [f'POST {path} HTTP/1.1', 'Host: 127.0.0.1']
+    lines += [f'{name}: {text}' for name, text in headers.items()]
+    lines += ['Content-Type: application/json', f'Content-Length: {len(body)}']
+    return '\r\n'.join([*lines, '', '']).encode() + body
