--- a/packages/testkit/src/baobabwharf_testkit/faultproxy.py
+++ b/packages/testkit/src/baobabwharf_testkit/faultproxy.py
@@ -67,8 +67,12 @@
         if chosen.bandwidth_mbit_s:
             bits = size * _BITS_PER_BYTE
             self._free_at += bits / (chosen.bandwidth_mbit_s * _BITS_PER_MBIT)
-        jitter = self._random.uniform(0, chosen.jitter_ms)
-        return self._free_at + (chosen.delay_ms + jitter) / _MS_PER_S
+        delay_ms = chosen.delay_ms + self.jitter_ms()
+        return self._free_at + delay_ms / _MS_PER_S
+
+    def jitter_ms(self) -> float:
+        """Draw the next jitter in ms."""
+        return self._random.uniform(0, self._conditions.jitter_ms)
 
 
 class Link:
--- a/packages/testkit/src/baobabwharf_testkit/raw_client.py
+++ b/packages/testkit/src/baobabwharf_testkit/raw_client.py
@@ -40,6 +40,11 @@
         self._done: asyncio.Future[None] | None = None
         self.first_ns = 0
 
+    @property
+    def request(self) -> bytes:
+        """Return the request."""
+        return self._request
+
     @property
     def tail(self) -> bytes:
         """Return the end of the answer."""
@@ -90,11 +95,16 @@
     ports: tuple[int, ...], request: bytes, streams: int, duration_s: float
 ) -> Measurement:
     """Keep a number of streams busy for a time in seconds."""
+    # One after the other, since a burst overflows the accept queue.
+    opened = [
+        await _connect(ports[number % len(ports)], request)
+        for number in range(streams)
+    ]
     measurement = Measurement()
     end = time.monotonic_ns() + int(duration_s * _NS_PER_S)
     workers = (
-        _work(ports[number % len(ports)], request, end, measurement)
-        for number in range(streams)
+        _work(ports[number % len(ports)], stream, end, measurement)
+        for number, stream in enumerate(opened)
     )
     await asyncio.gather(*workers)
     return measurement
@@ -109,12 +119,11 @@
 
 
 async def _work(
-    port: int, request: bytes, end_ns: int, measurement: Measurement
+    port: int, stream: _Stream, end_ns: int, measurement: Measurement
 ) -> None:
-    stream = _Stream(request)
     while time.monotonic_ns() < end_ns:
         if stream.closed:
-            stream = await _connect(port, request)
+            stream = await _connect(port, stream.request)
         started = time.monotonic_ns()
         complete = await stream.exchange()
         if complete:
