--- /dev/null
+++ b/features/steps/region_view.py
@@ -0,0 +1,82 @@
+"""View a region at its entry VM for customers with and without residency."""
+
+import random
+
+from baobabwharf_core.ids import (
+    CustomerId,
+    EndpointId,
+    Incarnation,
+    RegionId,
+    RequestId,
+    ServiceId,
+    WorkClass,
+    ZoneId,
+)
+from baobabwharf_core.platform import Announcement, Heartbeat, LoadReport
+from baobabwharf_core.requests import RequestFacts
+from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.lanes import LaneSet
+from baobabwharf_decisions.routing import HomeView
+from behave import given, then, when
+from behave.runner import Context
+
+_HOME = RegionId('tunis-a')
+_OTHER = RegionId('sfax-a')
+_SERVICE = ServiceId('rota-app')
+_ENDPOINT = EndpointId('rota-app-1')
+_NOW_MS = 1000
+
+
+class RegionViewSubject:
+    """Hold the lanes of one entry VM with one endpoint."""
+
+    def __init__(self) -> None:
+        directory = Directory(random.Random(1))
+        incarnation = Incarnation(1)
+        directory.announce(
+            Announcement(
+                _ENDPOINT,
+                _SERVICE,
+                _HOME,
+                ZoneId('a'),
+                'http://127.0.0.1:1',
+                incarnation,
+            ),
+            _NOW_MS,
+        )
+        directory.heartbeat(
+            Heartbeat(_ENDPOINT, incarnation, 1, LoadReport(0, 0)), _NOW_MS
+        )
+        self.lanes = LaneSet(_HOME, directory, random.Random(1))
+
+    def view(self, *residency: RegionId) -> HomeView:
+        facts = RequestFacts(
+            request_id=RequestId('r1'),
+            customer_id=CustomerId('c1'),
+            service=_SERVICE,
+            work_class=WorkClass('interactive'),
+            residency=residency,
+            deadline_ms=5000,
+            first_token_ms=1000,
+        )
+        return self.lanes.home_view(facts, _NOW_MS)
+
+
+@given('an entry VM with a free endpoint in its region')
+def entry_vm(context: Context) -> None:
+    context.subject = RegionViewSubject()
+
+
+@when('the region is viewed for a customer bound to another region')
+def view_bound(context: Context) -> None:
+    context.view = context.subject.view(_OTHER)
+
+
+@then('the view offers no endpoint')
+def offers_none(context: Context) -> None:
+    assert not context.view.serves
+
+
+@then('the view offers the endpoint to a customer without residency')
+def offers_endpoint(context: Context) -> None:
+    assert context.subject.view().serves
--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -72,6 +72,14 @@
         """Return the way to submit operations on this VM."""
         return self._calls
 
+    @property
+    def role(self) -> str:
+        """Return the role of the replica, or the stage before it has one."""
+        status = self._engine.status
+        if status is None:
+            return self._formation.stage.value
+        return status.role
+
     def age_ms(self, clock: Clock) -> int | None:
         """Return when the leader was last heard, None before that."""
         status = self._engine.status
--- a/packages/decisions/src/baobabwharf_decisions/choice.py
+++ b/packages/decisions/src/baobabwharf_decisions/choice.py
@@ -41,6 +41,10 @@
         self._directory = directory
         self._rng = rng
 
+    def allows(self, facts: RequestFacts) -> bool:
+        """Tell whether the residency of a request allows this region."""
+        return not facts.residency or self._region in facts.residency
+
     def choose(
         self,
         facts: RequestFacts,
@@ -50,7 +54,7 @@
     ) -> Candidate | None:
         """Return the best endpoint with room beyond a reserve, if any."""
         check_invariant(
-            not facts.residency or self._region in facts.residency,
+            self.allows(facts),
             'A request may only be placed in a region of its residency.',
         )
         best: Candidate | None = None
--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -104,7 +104,9 @@
         lane.charge(facts, -float(max(0, surplus)))
 
     def home_view(self, facts: RequestFacts, now_ms: int) -> HomeView:
-        """Return what this region offers a request."""
+        """Return what this region offers a request, within its residency."""
+        if not self._chooser.allows(facts):
+            return HomeView(False, 0.0, 0.0)
         group = self._directory.groups.get((facts.service, facts.model))
         if group is None or not self._chooser.serves(facts, now_ms):
             return HomeView(False, 0.0, 0.0)
--- a/packages/testkit/src/baobabwharf_testkit/run_tests.py
+++ b/packages/testkit/src/baobabwharf_testkit/run_tests.py
@@ -39,10 +39,12 @@
         sys.executable,
         '-m',
         'behave',
-        '--format=progress2',
-        '--outfile=/dev/stdout',
+        # The first output file belongs to the first format; the second format
+        # keeps standard output, which must not be opened again by name: that
+        # would truncate a log file that it is redirected to.
         '--format=json',
         f'--outfile={_REPORT}',
+        '--format=progress2',
         '--no-capture',
         *(arguments or ['features']),
     ]
