Add the soak run

Cause: faults that need several failures at once are not found by scenarios. Change: two seeded lanes of disturbances (VMs and links; endpoints and operators) while clients verify answers, bookings, keys and a flooding customer's tokens.

--- a/packages/testkit/src/baobabwharf_testkit/endpoint.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import logging
+import os
 import signal
 import sys
 import time
@@ -96,6 +97,14 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._runner is not None:
             await self._runner.cleanup()
+        self._leave_records()
+
+    def _leave_records(self) -> None:
+        folder = self._settings.records_folder
+        if folder is not None:
+            name = f'{self._settings.endpoint_id}-{os.getpid()}.json'
+            encoded = msgspec.json.encode(self._records.page())
+            Path(folder, name).write_bytes(encoded)
 
     def _application(self) -> web.Application:
         control = Control(
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_model.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_model.py
@@ -49,6 +49,8 @@
     announced_url: str = ''
     # Off for benchmarks, where the records would cost time.
     records_requests: bool = True
+    # Folder in which a stopping endpoint leaves its records for tests.
+    records_folder: str | None = None
     seed: int = 1
 
 
@@ -92,6 +94,14 @@
     body_digest: str
 
 
+class RecordsPage(msgspec.Struct, frozen=True):
+    """Hold all records of an endpoint."""
+
+    seen: tuple[SeenRequest, ...] = ()
+    runs: tuple[Run, ...] = ()
+    dropped: int = 0
+
+
 class Records:
     """Hold what the endpoint saw and ran, for tests."""
 
@@ -115,6 +125,10 @@
         """Return the calls in the order in which they ran."""
         return tuple(self._runs)
 
+    def page(self) -> RecordsPage:
+        """Return all records."""
+        return RecordsPage(self.seen, self.runs, self.dropped)
+
     def add_seen(self, seen: SeenRequest) -> None:
         """Keep a request up to a bound."""
         if len(self._seen) < _KEPT_REQUESTS:
--- a/packages/testkit/src/baobabwharf_testkit/evidence.py
+++ b/packages/testkit/src/baobabwharf_testkit/evidence.py
@@ -1,12 +1,13 @@
 """Check what the endpoints recorded against what must never happen."""
 
 from collections import Counter
-from typing import Any
+from pathlib import Path
 
 import aiohttp
 import msgspec
 
 from baobabwharf_testkit.endpoint_control import RUNS_PATH, SEEN_PATH
+from baobabwharf_testkit.endpoint_model import RecordsPage
 from baobabwharf_testkit.fleet import Fleet
 
 _TIMEOUT_S = 10.0
@@ -25,6 +26,16 @@
         """Return the digests of bookings that ran more than once."""
         return tuple(name for name, count in self.runs.items() if count > 1)
 
+    def add(self, page: RecordsPage, secrets: list[str]) -> None:
+        """Count the records of one endpoint."""
+        self.runs.update(run.body_digest for run in page.runs)
+        self.requests_not_kept += page.dropped
+        for request in page.seen:
+            self.requests_seen += 1
+            text = str(request)
+            shown = any(secret in text for secret in secrets)
+            self.requests_with_key += shown
+
 
 async def collect_evidence(fleet: Fleet, secrets: list[str]) -> Evidence:
     """Ask all endpoints that still run."""
@@ -33,27 +44,21 @@
     async with aiohttp.ClientSession(timeout=timeout) as session:
         for unit in fleet.endpoints.values():
             if unit.process.running:
-                runs = await _read(session, unit.url + RUNS_PATH)
-                seen = await _read(session, unit.url + SEEN_PATH)
-                _add(evidence, runs, seen, secrets)
+                for path in (RUNS_PATH, SEEN_PATH):
+                    page = await _read(session, unit.url + path)
+                    evidence.add(page, secrets)
     return evidence
 
 
-def _add(
-    evidence: Evidence,
-    runs: dict[str, Any],
-    seen: dict[str, Any],
-    secrets: list[str],
-) -> None:
-    evidence.runs.update(run['body_digest'] for run in runs['runs'])
-    evidence.requests_not_kept += seen['dropped']
-    for request in seen['seen']:
-        evidence.requests_seen += 1
-        text = str(request)
-        shown = any(secret in text for secret in secrets)
-        evidence.requests_with_key += shown
+def read_left_records(folder: Path, secrets: list[str]) -> Evidence:
+    """Read what stopped endpoints left in their folder."""
+    evidence = Evidence(Counter())
+    for path in sorted(folder.glob('*.json')):
+        page = msgspec.json.decode(path.read_bytes(), type=RecordsPage)
+        evidence.add(page, secrets)
+    return evidence
 
 
-async def _read(session: aiohttp.ClientSession, url: str) -> dict[str, Any]:
+async def _read(session: aiohttp.ClientSession, url: str) -> RecordsPage:
     async with session.get(url) as answer:
-        return msgspec.json.decode(await answer.read(), type=dict[str, Any])
+        return msgspec.json.decode(await answer.read(), type=RecordsPage)
--- a/packages/testkit/src/baobabwharf_testkit/load.py
+++ b/packages/testkit/src/baobabwharf_testkit/load.py
@@ -5,6 +5,7 @@
 import ssl
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -145,13 +146,18 @@
         await self._session.close()
 
     async def perform(
-        self, call: Call, patience_ms: float = 10_000
+        self,
+        call: Call,
+        patience_ms: float = 10_000,
+        on_answer: Callable[[Call, Outcome], None] | None = None,
     ) -> tuple[Judgement, Answer]:
         """Send a call; repeat it while that is safe and patience lasts."""
         end = _now_ms() + patience_ms
         while True:
             answer = await self.send(call)
             judgement = judge(call, answer)
+            if on_answer is not None:
+                on_answer(call, judgement.outcome)
             again = _may_repeat(call, judgement)
             if not again or _now_ms() > end:
                 return judgement, answer
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/soak.py
@@ -0,0 +1,209 @@
+"""Disturb a fleet by seed while clients verify every answer."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+
+from baobabwharf_testkit.calls import Outcome
+from baobabwharf_testkit.evidence import read_left_records
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.fleet_plan import (
+    ROTAWEN,
+    FleetPlan,
+    deployment_endpoints,
+    region_vms,
+)
+from baobabwharf_testkit.fleet_setup import set_up_customers, set_up_services
+from baobabwharf_testkit.readiness import FleetError
+from baobabwharf_testkit.soak_clients import Flood, SoakClients
+from baobabwharf_testkit.soak_endpoints import EndpointDisturber
+from baobabwharf_testkit.soak_lane import Lane, Narrator
+from baobabwharf_testkit.soak_operators import SoakOperators
+from baobabwharf_testkit.soak_vms import VmDisturber
+from baobabwharf_testkit.tables import format_table
+from baobabwharf_testkit.workload import CustomerPlan, deployment_customers
+
+_NS_PER_S = 1_000_000_000
+# Configuration must be in force everywhere within seconds of the last fault.
+_SETTLE_S = 15.0
+_POLL_S = 0.2
+_FLOOD_RATE = 400
+_FLOOD_BURST = 800
+_OUTCOMES = tuple(Outcome)
+
+
+class Soak:
+    """Own the fleet, its clients and its disturbances."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self._folder = folder
+        self._seed = seed
+        plan = FleetPlan(
+            vms=region_vms(ROTAWEN.regions), link=ROTAWEN.link, proxied=True
+        )
+        self._fleet = Fleet(plan, folder, seed)
+        self._plans = deployment_customers(ROTAWEN, ROTAWEN.regions)
+        self._flooding = CustomerPlan(
+            'flooding', ROTAWEN.regions[0], _FLOOD_RATE, _FLOOD_BURST
+        )
+        self._clients = SoakClients(self._fleet, ROTAWEN, seed)
+        self._narrator = Narrator()
+        self._violations: list[str] = []
+        self._keys: dict[str, str] = {}
+
+    @property
+    def violations(self) -> list[str]:
+        """Return the sentences that say which promise was broken."""
+        return self._violations
+
+    async def prepare(self) -> None:
+        """Start the fleet and create the configuration."""
+        await self._fleet.start()
+        operator = self._fleet.operator()
+        await set_up_services(self._fleet, operator, ROTAWEN)
+        plans = (*self._plans, self._flooding)
+        self._keys = await set_up_customers(operator, plans)
+        await operator.close()
+        records = self._folder / 'records'
+        records.mkdir()
+        for plan in deployment_endpoints(ROTAWEN, ROTAWEN.regions):
+            plan.extra.update(records_folder=str(records))
+            self._fleet.add_endpoint(plan)
+        await self._fleet.wait_registered(*self._fleet.endpoints)
+
+    async def run(self, seconds: float) -> None:
+        """Disturb the fleet under load, heal it and check everything."""
+        for plan in self._plans:
+            self._clients.start(plan, self._keys[plan.customer_id])
+        flood = self._clients.start_flood(
+            self._flooding, self._keys[self._flooding.customer_id]
+        )
+        operators = SoakOperators(
+            self._fleet,
+            self._plans,
+            self._narrator,
+            f'{self._seed} operators',
+        )
+        await self._disturb(seconds, operators)
+        self._fleet.links.heal()
+        await self._fleet.wait_ready(*self._fleet.vms)
+        await self._settle()
+        await operators.check_withdrawn()
+        await self._clients.stop()
+        self._judge(operators, flood)
+
+    async def stop(self) -> None:
+        """Stop the fleet and judge what the endpoints recorded."""
+        codes = await self._fleet.stop()
+        for name, code in codes.items():
+            if code != 0:
+                self._violations.append(f'{name} ended with code {code}.')
+        secrets = list(self._keys.values())
+        evidence = read_left_records(self._folder / 'records', secrets)
+        self._violations.extend(self._clients.ledger.violations(evidence.runs))
+        if evidence.requests_with_key:
+            self._violations.append('An endpoint saw a key of a caller.')
+        print(
+            f'{evidence.runs.total()} bookings ran; '
+            f'{evidence.requests_seen} requests were searched for keys.'
+        )
+
+    def abandon(self) -> None:
+        """End every process at once after a failure."""
+        self._fleet.kill_all()
+
+    async def _disturb(self, seconds: float, operators: SoakOperators) -> None:
+        until_ns = time.monotonic_ns() + int(seconds * _NS_PER_S)
+        seed = str(self._seed)
+        vms = VmDisturber(self._fleet, self._narrator, seed)
+        endpoints = EndpointDisturber(self._fleet, self._narrator, seed)
+        actions = endpoints.actions() + operators.actions()
+        await asyncio.gather(
+            Lane(vms.actions(), f'{seed} vms').run(until_ns),
+            Lane(actions, f'{seed} others').run(until_ns),
+        )
+
+    async def _settle(self) -> None:
+        """Wait until all VMs report one revision."""
+        end = time.monotonic() + _SETTLE_S
+        revisions = await self._revisions()
+        while len(revisions) > 1 and time.monotonic() < end:
+            await asyncio.sleep(_POLL_S)
+            revisions = await self._revisions()
+        if len(revisions) > 1:
+            self._violations.append(
+                f'VMs are at revisions {sorted(revisions)} after the last fault.'
+            )
+
+    async def _revisions(self) -> set[int]:
+        found = set()
+        for vm_id in self._fleet.vms:
+            operator = self._fleet.operator(vm_id)
+            config = await operator.get('/operator/v1/config')
+            await operator.close()
+            found.add(config['revision'] if config else -1)
+        return found
+
+    def _judge(self, operators: SoakOperators, flood: Flood) -> None:
+        statistics = self._clients.statistics
+        rows = [
+            [
+                kind.value,
+                str(counts.total()),
+                *(str(counts[outcome]) for outcome in _OUTCOMES),
+            ]
+            for kind, counts in statistics.outcomes.items()
+        ]
+        headers = ['work', 'sent', *(outcome.value for outcome in _OUTCOMES)]
+        print(format_table(headers, rows))
+        for reason, count in sorted(statistics.reasons.items()):
+            print(f'  {count} x {reason}')
+        print(
+            f'The flooding customer got {flood.tokens} tokens, at most '
+            f'{flood.worst_ratio:.3f} of its rate and burst.'
+        )
+        self._violations.extend(statistics.wrong)
+        self._violations.extend(operators.violations)
+        if flood.worst_ratio > 1:
+            self._violations.append('A customer exceeded its rate and burst.')
+        if not statistics.count(Outcome.COMPLETE):
+            self._violations.append('No call was answered.')
+
+
+async def _run(seconds: float, seed: int) -> int:
+    folder = Path(tempfile.mkdtemp(prefix='baobabwharf-soak-'))
+    soak = Soak(folder, seed)
+    try:
+        await soak.prepare()
+        await soak.run(seconds)
+    except BaseException as fault:
+        soak.abandon()
+        if not isinstance(fault, FleetError):
+            raise
+        print(f'The soak run failed: {fault}', file=sys.stderr)
+        return 1
+    await soak.stop()
+    for sentence in soak.violations:
+        print(f'VIOLATION: {sentence}')
+    count = len(soak.violations)
+    print(f'Seed {seed}: {count} violations; logs in {folder}.')
+    return 1 if count else 0
+
+
+def main() -> int:
+    """Run and return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=60.0)
+    parser.add_argument('--seed', type=int, default=1)
+    chosen = parser.parse_args()
+    print(f'Seed {chosen.seed}.')
+    return uvloop.run(_run(chosen.seconds, chosen.seed))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/soak_clients.py
@@ -0,0 +1,167 @@
+"""Send verified calls through a soak run and note what was promised."""
+
+import asyncio
+import time
+from collections import Counter
+
+import msgspec
+
+from baobabwharf_testkit.answers import body_digest
+from baobabwharf_testkit.calls import (
+    Answer,
+    Call,
+    CallKind,
+    Judgement,
+    Outcome,
+    judge,
+)
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.fleet_plan import Deployment
+from baobabwharf_testkit.load import Caller, EntryVms, Statistics
+from baobabwharf_testkit.workload import CallMaker, CustomerPlan
+
+_WORKERS_EACH = 2
+_PAUSE_S = 0.05
+_FLOOD_WORKERS = 6
+_NS_PER_S = 1_000_000_000
+
+
+class BookingLedger:
+    """Hold what callers were told of each booking."""
+
+    def __init__(self) -> None:
+        self._told: dict[str, set[Outcome]] = {}
+
+    def note(self, call: Call, outcome: Outcome) -> None:
+        """Note one answer to a booking."""
+        if call.kind is CallKind.BOOKING:
+            told = self._told.setdefault(body_digest(call.body), set())
+            told.add(outcome)
+
+    def violations(self, runs: Counter[str]) -> list[str]:
+        """Compare what was told with what ran."""
+        found = []
+        for digest, told in self._told.items():
+            count = runs[digest]
+            name = digest[:12]
+            if count > 1:
+                found.append(f'Booking {name} ran {count} times.')
+            if Outcome.COMPLETE in told and count == 0:
+                found.append(f'Booking {name} was confirmed but never ran.')
+            if told == {Outcome.REFUSED} and count:
+                found.append(f'Booking {name} ran but was refused as not run.')
+        return found
+
+
+class Flood:
+    """Count the tokens that a customer got, against its rate and burst."""
+
+    def __init__(self, plan: CustomerPlan) -> None:
+        self._plan = plan
+        self._started_ns = time.monotonic_ns()
+        self._tokens = 0
+        self._worst = 0.0
+
+    @property
+    def worst_ratio(self) -> float:
+        """Return the largest share of what could be handed out so far."""
+        return self._worst
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of complete answers."""
+        return self._tokens
+
+    def add(self, answer: Answer) -> None:
+        """Count the usage of a complete answer."""
+        usage = msgspec.json.decode(answer.content)['usage']
+        self._tokens += usage['total_tokens']
+        passed_s = (time.monotonic_ns() - self._started_ns) / _NS_PER_S
+        bound = self._plan.burst_tokens
+        bound_now = bound + self._plan.rate_tokens_per_s * passed_s
+        self._worst = max(self._worst, self._tokens / bound_now)
+
+
+class SoakClients:
+    """Own the callers of all customers until they are stopped."""
+
+    def __init__(self, fleet: Fleet, deployment: Deployment, seed: int) -> None:
+        self._fleet = fleet
+        self._deployment = deployment
+        self._seed = seed
+        self._statistics = Statistics()
+        self._ledger = BookingLedger()
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def statistics(self) -> Statistics:
+        """Return the counts of all calls."""
+        return self._statistics
+
+    @property
+    def ledger(self) -> BookingLedger:
+        """Return what callers were told of bookings."""
+        return self._ledger
+
+    def start(self, plan: CustomerPlan, key: str) -> None:
+        """Begin to send the mixed calls of a customer."""
+        maker = CallMaker(self._deployment, plan.customer_id, self._seed)
+        work = self._work(plan, key, maker)
+        self._tasks.append(asyncio.create_task(work))
+
+    def start_flood(self, plan: CustomerPlan, key: str) -> Flood:
+        """Begin to send quick questions far above a customer's rate."""
+        flood = Flood(plan)
+        work = self._flood(plan, key, flood)
+        self._tasks.append(asyncio.create_task(work))
+        return flood
+
+    async def stop(self) -> None:
+        """Finish the calls at hand."""
+        self._stopping.set()
+        await asyncio.gather(*self._tasks)
+
+    def _caller(self, plan: CustomerPlan, key: str) -> Caller:
+        entries = EntryVms(self._fleet.urls, plan.region)
+        return Caller(key, entries, self._fleet.files.context, self._seed)
+
+    async def _work(
+        self, plan: CustomerPlan, key: str, maker: CallMaker
+    ) -> None:
+        caller = self._caller(plan, key)
+
+        async def repeat() -> None:
+            while not self._stopping.is_set():
+                call = maker.make()
+                judgement, answer = await caller.perform(
+                    call, on_answer=self._ledger.note
+                )
+                self._statistics.record(call, judgement, answer)
+                await asyncio.sleep(_PAUSE_S)
+
+        await asyncio.gather(*(repeat() for _ in range(_WORKERS_EACH)))
+        await caller.close()
+
+    async def _flood(self, plan: CustomerPlan, key: str, flood: Flood) -> None:
+        caller = self._caller(plan, key)
+        maker = CallMaker(self._deployment, plan.customer_id, self._seed)
+
+        async def repeat() -> None:
+            while not self._stopping.is_set():
+                call = maker.make_kind(CallKind.QUICK)
+                answer = await caller.send(call)
+                judgement = judge(call, answer)
+                if judgement.outcome is Outcome.COMPLETE:
+                    flood.add(answer)
+                self._note_wrong(call, judgement, answer)
+                await asyncio.sleep(_PAUSE_S)
+
+        await asyncio.gather(*(repeat() for _ in range(_FLOOD_WORKERS)))
+        await caller.close()
+
+    def _note_wrong(
+        self, call: Call, judgement: Judgement, answer: Answer
+    ) -> None:
+        if judgement.outcome is Outcome.WRONG:
+            self._statistics.record(call, judgement, answer)
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/soak_endpoints.py
@@ -0,0 +1,98 @@
+"""Disturb stand-in endpoints."""
+
+import asyncio
+import random
+
+import aiohttp
+
+from baobabwharf_testkit.endpoint_control import FAULTS_PATH
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.fleet_units import EndpointUnit
+from baobabwharf_testkit.soak_lane import Action, Narrator
+
+_TIMEOUT_S = 3.0
+_STOP_MS = 20_000
+
+
+class EndpointDisturber:
+    """Let endpoints leave, die and answer wrongly."""
+
+    def __init__(self, fleet: Fleet, narrator: Narrator, seed: str) -> None:
+        self._fleet = fleet
+        self._narrator = narrator
+        self._random = random.Random(seed)
+
+    def actions(self) -> list[Action]:
+        """Return what can happen."""
+        return [
+            self.endpoint_leaves,
+            self.engine_dies,
+            self.late_answers,
+            self.crossed_answers,
+            self.broken_answers,
+            self.refused_calls,
+        ]
+
+    async def endpoint_leaves(self) -> None:
+        """Let an endpoint leave gracefully and return."""
+        name = self._random.choice(sorted(self._fleet.endpoints))
+        unit = self._fleet.endpoints[name]
+        self._narrator.tell(f'Endpoint {name} leaves.')
+        code = await unit.process.terminate(_STOP_MS)
+        if code != 0:
+            self._narrator.tell(f'Endpoint {name} ended with code {code}.')
+        await self._pause(0.5, 2)
+        unit.process.start()
+        self._narrator.tell(f'Endpoint {name} returns.')
+
+    async def engine_dies(self) -> None:
+        """Kill an engine and start it again."""
+        unit = self._draw_engine()
+        name = unit.plan.endpoint_id
+        self._narrator.tell(f'Engine {name} is killed.')
+        unit.process.kill()
+        await self._pause(1, 3)
+        unit.process.start()
+        self._narrator.tell(f'Engine {name} returns.')
+
+    async def late_answers(self) -> None:
+        """Let an endpoint answer late."""
+        await self._set_faults('late', late_ms=1500, late_next=4)
+
+    async def crossed_answers(self) -> None:
+        """Let an endpoint send answers to other requests."""
+        await self._set_faults('crossed', cross_next=3)
+
+    async def broken_answers(self) -> None:
+        """Let an endpoint break connections in the middle."""
+        await self._set_faults('broken', break_next=3, break_after_tokens=4)
+
+    async def refused_calls(self) -> None:
+        """Let an endpoint refuse calls as not run."""
+        await self._set_faults('refused', refuse_next=4)
+
+    async def _set_faults(self, sentence: str, **faults: int) -> None:
+        name = self._random.choice(sorted(self._fleet.endpoints))
+        unit = self._fleet.endpoints[name]
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        self._narrator.tell(
+            f'The next answers of endpoint {name} are {sentence}.'
+        )
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            try:
+                await session.post(unit.url + FAULTS_PATH, json=faults)
+            except (aiohttp.ClientError, OSError, TimeoutError) as fault:
+                self._narrator.tell(
+                    f'Endpoint {name} took no faults: {fault!r}.'
+                )
+
+    async def _pause(self, least_s: float, most_s: float) -> None:
+        await asyncio.sleep(self._random.uniform(least_s, most_s))
+
+    def _draw_engine(self) -> EndpointUnit:
+        units = [
+            unit
+            for unit in self._fleet.endpoints.values()
+            if 'models' in unit.plan.extra
+        ]
+        return self._random.choice(units)
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/soak_lane.py
@@ -0,0 +1,36 @@
+"""Draw disturbances by seed and tell when they happen."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+_NS_PER_S = 1_000_000_000
+
+Action = Callable[[], Awaitable[None]]
+
+
+class Narrator:
+    """Print what happens with the time since the start."""
+
+    def __init__(self) -> None:
+        self._started_ns = time.monotonic_ns()
+
+    def tell(self, sentence: str) -> None:
+        """Print a sentence."""
+        passed = (time.monotonic_ns() - self._started_ns) / _NS_PER_S
+        print(f'{passed:7.2f} s  {sentence}', flush=True)
+
+
+class Lane:
+    """Do one disturbance after the other until the time is up."""
+
+    def __init__(self, actions: list[Action], seed: str) -> None:
+        self._actions = actions
+        self._random = random.Random(seed)
+
+    async def run(self, until_ns: int) -> None:
+        """Draw actions until the time is up."""
+        while time.monotonic_ns() < until_ns:
+            await asyncio.sleep(self._random.uniform(0.5, 2.0))
+            await self._random.choice(self._actions)()
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/soak_operators.py
@@ -0,0 +1,138 @@
+"""Change the configuration during a soak run and check the outcomes."""
+
+import asyncio
+import itertools
+import random
+
+import aiohttp
+from baobabwharf_core.changes import (
+    ChangeCode,
+    CreateKey,
+    SetCap,
+    WithdrawKey,
+)
+from baobabwharf_core.ids import CustomerId, KeyId, Revision
+from baobabwharf_core.model import KeyRecord
+
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.operator_client import (
+    OperatorClient,
+    digest,
+    new_key,
+)
+from baobabwharf_testkit.soak_lane import Action, Narrator
+from baobabwharf_testkit.workload import CustomerPlan
+
+_WAIT_MS = 5000
+_TIMEOUT_S = 3.0
+_REFUSED = 401
+_CONFIG_PATH = '/operator/v1/config'
+
+
+class SoakOperators:
+    """Withdraw keys, change caps and race under equal revisions."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        plans: tuple[CustomerPlan, ...],
+        narrator: Narrator,
+        seed: str,
+    ) -> None:
+        self._fleet = fleet
+        self._plans = plans
+        self._narrator = narrator
+        self._random = random.Random(seed)
+        self._withdrawn: list[str] = []
+        self._violations: list[str] = []
+        self._made = 0
+
+    @property
+    def violations(self) -> list[str]:
+        """Return the sentences that say which promise was broken."""
+        return self._violations
+
+    def actions(self) -> list[Action]:
+        """Return what operators may do."""
+        return [self.change_cap, self.race, self.withdraw_key]
+
+    async def change_cap(self) -> None:
+        """Raise or lower the cap of a customer."""
+        plan = self._random.choice(self._plans)
+        factor = self._random.choice((1, 2, 3))
+        change = SetCap(
+            CustomerId(plan.customer_id),
+            plan.rate_tokens_per_s * factor,
+            plan.burst_tokens * factor,
+        )
+        operator = self._fleet.operator()
+        outcome = await operator.change(change, wait_ms=_WAIT_MS)
+        await operator.close()
+        self._narrator.tell(f'A cap change was {outcome.code.value}.')
+
+    async def race(self) -> None:
+        """Send two changes under one expected revision from two VMs."""
+        first, second = self._random.sample(sorted(self._fleet.vms), 2)
+        operators = [self._fleet.operator(first), self._fleet.operator(second)]
+        config = await operators[0].get(_CONFIG_PATH)
+        if config is not None:
+            codes = await asyncio.gather(
+                *(
+                    self._raced(operator, Revision(config['revision']), factor)
+                    for factor, operator in enumerate(operators, start=1)
+                )
+            )
+            named = [code.value for code in codes]
+            self._narrator.tell(f'Racing operators were told {named}.')
+            if codes.count(ChangeCode.ACCEPTED) > 1:
+                self._violations.append('Two racing changes were accepted.')
+        for operator in operators:
+            await operator.close()
+
+    async def withdraw_key(self) -> None:
+        """Create a key, use it and withdraw it."""
+        self._made += 1
+        plan = self._random.choice(self._plans)
+        key = new_key()
+        key_id = KeyId(f'soak-{self._made}')
+        record = KeyRecord(key_id, CustomerId(plan.customer_id), digest(key))
+        operator = self._fleet.operator()
+        created = await operator.change(CreateKey(record), wait_ms=_WAIT_MS)
+        withdrawn = await operator.change(WithdrawKey(key_id), wait_ms=_WAIT_MS)
+        await operator.close()
+        self._narrator.tell(
+            f'A key was created ({created.code.value}) and withdrawn '
+            f'({withdrawn.code.value}).'
+        )
+        if withdrawn.code is ChangeCode.ACCEPTED:
+            self._withdrawn.append(key)
+
+    async def check_withdrawn(self) -> None:
+        """Try all withdrawn keys at all VMs of the healed fleet."""
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            pairs = itertools.product(self._fleet.urls, self._withdrawn)
+            for url, key in pairs:
+                status = await _status(session, url, key)
+                if status != _REFUSED:
+                    self._violations.append(
+                        f'{url} answered a withdrawn key with {status}.'
+                    )
+
+    async def _raced(
+        self, operator: OperatorClient, revision: Revision, factor: int
+    ) -> ChangeCode:
+        plan = self._plans[0]
+        change = SetCap(
+            CustomerId(plan.customer_id),
+            plan.rate_tokens_per_s * factor,
+            plan.burst_tokens * factor,
+        )
+        outcome = await operator.change(change, expected=revision)
+        return outcome.code
+
+
+async def _status(session: aiohttp.ClientSession, url: str, key: str) -> int:
+    headers = {'Authorization': f'Bearer {key}'}
+    async with session.get(f'{url}/v1/models', headers=headers) as answer:
+        return answer.status
