--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/lanes.py
@@ -0,0 +1,76 @@
+"""Let requests wait until the pure lanes place or refuse them."""
+
+import asyncio
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import ServiceId
+from baobabwharf_core.refusals import Refusal
+from baobabwharf_decisions.admission import Ticket
+from baobabwharf_decisions.choice import Candidate
+from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.lanes import LaneSet
+from expression import Error, Ok, Result
+
+Placement = Result[Candidate, Refusal]
+
+
+@final
+class WaitingRoom:
+    """Hold one future for each waiting request."""
+
+    def __init__(
+        self, clock: Clock, directory: Directory, lanes: LaneSet
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._lanes = lanes
+        self._futures: dict[Ticket, asyncio.Future[Placement]] = {}
+
+    async def wait(self, ticket: Ticket) -> Placement:
+        """Wait until a queued request is placed or refused."""
+        future = asyncio.get_running_loop().create_future()
+        self._futures[ticket] = future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._abandon(ticket, future)
+            raise
+        finally:
+            self._futures.pop(ticket, None)
+
+    def pump(self, service: ServiceId) -> None:
+        """Place waiting requests of a service where there is room."""
+        now_ms = self._clock.now_ms()
+        for ticket, candidate in self._lanes.pump(service, now_ms):
+            self._resolve(ticket, Ok(candidate))
+
+    def tick(self) -> None:
+        """Refuse requests whose time is over and place what fits."""
+        now_ms = self._clock.now_ms()
+        for expired, refusal in self._lanes.expire(now_ms):
+            self._resolve(expired, Error(refusal))
+        for ticket, candidate in self._lanes.pump_all(now_ms):
+            self._resolve(ticket, Ok(candidate))
+
+    def _resolve(self, ticket: Ticket, placement: Placement) -> None:
+        future = self._futures.get(ticket)
+        if future is not None and not future.done():
+            future.set_result(placement)
+        elif placement.is_ok():
+            self._release(placement.ok)
+
+    def _abandon(
+        self, ticket: Ticket, future: asyncio.Future[Placement]
+    ) -> None:
+        self._lanes.cancel(ticket)
+        if not future.done() or future.cancelled():
+            return
+        placement = future.result()
+        if placement.is_ok():
+            # The caller went away between placement and sending.
+            self._release(placement.ok)
+
+    def _release(self, candidate: Candidate) -> None:
+        endpoint_id = candidate.endpoint.endpoint_id
+        self._directory.release(endpoint_id, self._clock.now_ms())
