Let callers spread over the entry VMs of their region

Cause: the list of entry VMs is ranked as seen from the VM that answers, so all callers of a fleet would have used one VM. Change: callers ask a VM of their region first and draw one of its VMs.

--- a/packages/testkit/src/baobabwharf_testkit/demo.py
+++ b/packages/testkit/src/baobabwharf_testkit/demo.py
@@ -159,7 +159,7 @@
     ) -> None:
         caller = Caller(
             self._keys[plan.customer_id],
-            EntryVms(self._fleet.urls, plan.region),
+            EntryVms(self._fleet.urls(plan.region), plan.region, _SEED),
             self._fleet.files.context,
             _SEED,
         )
--- a/packages/testkit/src/baobabwharf_testkit/fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/fleet.py
@@ -52,10 +52,12 @@
         """Return the keys by service; new endpoints announce with them."""
         return self._endpoint_keys
 
-    @property
-    def urls(self) -> tuple[str, ...]:
-        """Return the caller URLs of all VMs."""
-        return tuple(vm.url for vm in self._vms.values())
+    def urls(self, first_region: str = '') -> tuple[str, ...]:
+        """Return the caller URLs of all VMs, those of one region first."""
+        vms = sorted(
+            self._vms.values(), key=lambda vm: vm.plan.region != first_region
+        )
+        return tuple(vm.url for vm in vms)
 
     @property
     def files(self) -> FleetFiles:
--- a/packages/testkit/src/baobabwharf_testkit/load.py
+++ b/packages/testkit/src/baobabwharf_testkit/load.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -54,9 +55,10 @@
 class EntryVms:
     """Follow GET /v1/entry-vms and fall back to the URLs given at start."""
 
-    def __init__(self, seeds: tuple[str, ...], region: str) -> None:
+    def __init__(self, seeds: tuple[str, ...], region: str, seed: int) -> None:
         self._seeds = list(seeds)
         self._region = region
+        self._random = random.Random(seed)
         self._ranked: list[str] = []
         self._valid_until_ms = 0.0
 
@@ -73,22 +75,36 @@
         return self._ranked[0] if self._ranked else self._seeds[0]
 
     async def _refresh(self, session: aiohttp.ClientSession) -> None:
-        timeout = aiohttp.ClientTimeout(total=_LIST_TIMEOUT_S)
         for url in (*self._ranked, *self._seeds):
-            try:
-                async with session.get(
-                    f'{url}/v1/entry-vms?region={self._region}',
-                    timeout=timeout,
-                ) as answer:
-                    document = await answer.json()
-                    found = answer.status == _OK
-            except _FAILURES:
-                continue
-            if found and document['vms']:
-                self._ranked = [vm['url'] for vm in document['vms']]
+            document = await _entry_list(session, url)
+            if document is not None and document['vms']:
+                self._ranked = self._rank(document['vms'])
                 self._valid_until_ms = _now_ms() + document['valid_ms']
                 return
 
+    def _rank(self, vms: list[dict[str, str]]) -> list[str]:
+        """Spread over the VMs of the own region; keep the order of others."""
+        near = [vm['url'] for vm in vms if vm['region'] == self._region]
+        far = [vm['url'] for vm in vms if vm['region'] != self._region]
+        self._random.shuffle(near)
+        return near + far
+
+
+async def _entry_list(
+    session: aiohttp.ClientSession, url: str
+) -> dict[str, Any] | None:
+    timeout = aiohttp.ClientTimeout(total=_LIST_TIMEOUT_S)
+    listing = f'{url}/v1/entry-vms'
+    try:
+        async with session.get(listing, timeout=timeout) as answer:
+            content = await answer.read()
+            status = answer.status
+    except _FAILURES:
+        return None
+    if status != _OK:
+        return None
+    return msgspec.json.decode(content, type=dict[str, Any])
+
 
 class Statistics:
     """Count outcomes and hold times for each kind of call."""
--- a/packages/testkit/src/baobabwharf_testkit/soak_clients.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_clients.py
@@ -123,7 +123,9 @@
         await asyncio.gather(*self._tasks)
 
     def _caller(self, plan: CustomerPlan, key: str) -> Caller:
-        entries = EntryVms(self._fleet.urls, plan.region)
+        entries = EntryVms(
+            self._fleet.urls(plan.region), plan.region, self._seed
+        )
         return Caller(key, entries, self._fleet.files.context, self._seed)
 
     async def _work(
--- a/packages/testkit/src/baobabwharf_testkit/soak_operators.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_operators.py
@@ -111,7 +111,7 @@
         """Try all withdrawn keys at all VMs of the healed fleet."""
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            pairs = itertools.product(self._fleet.urls, self._withdrawn)
+            pairs = itertools.product(self._fleet.urls(), self._withdrawn)
             for url, key in pairs:
                 status = await _status(session, url, key)
                 if status != _REFUSED:
