Let settings override the addresses that VMs register

Cause: VMs learn addresses of others from the registered records, so links through fault proxies (or address translation) were bypassed. Ruled out: proxied addresses in settings.peers, which live records replace. Change: settings.address_overrides maps a registered address to the one to connect to; the gRPC client and the forwarder apply it. The daemon must pass it to RpcClient where that is built.

--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ssl
+from collections.abc import Mapping
 
 import aiohttp
 import msgspec
@@ -52,7 +53,9 @@
         region: RegionId,
         secret: str,
         tls_context: ssl.SSLContext | None,
+        overrides: Mapping[str, str] | None = None,
     ) -> None:
+        self._overrides = overrides or {}
         self._vm_id = vm_id
         self._region = region
         self._secret = secret
@@ -97,7 +100,9 @@
     ) -> Result[aiohttp.ClientResponse, Refusal]:
         assert self._session is not None
         scheme = 'https' if self._tls_context else 'http'
-        url = f'{scheme}://{choice.forward_address}{FORWARD_PATH}'
+        registered = choice.forward_address or ''
+        address = self._overrides.get(registered, registered)
+        url = f'{scheme}://{address}{FORWARD_PATH}'
         try:
             response = await self._session.post(
                 url,
--- a/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -175,7 +175,11 @@
             self._region, inputs.router, self._client, inputs.clock
         )
         forwarder = Forwarder(
-            self._vm_id, self._region, self._secret, self._contexts.client
+            self._vm_id,
+            self._region,
+            self._secret,
+            self._contexts.client,
+            inputs.settings.address_overrides,
         )
         pipeline = Pipeline(inputs.router, inputs.limits, serving, forwarder)
         bookings = Bookings(self._vm_id, pipeline, inputs.claims)
--- a/packages/daemon/src/baobabwharf_daemon/rpc.py
+++ b/packages/daemon/src/baobabwharf_daemon/rpc.py
@@ -182,9 +182,15 @@
 class RpcClient:
     """Call other VMs; keep one connection for each address."""
 
-    def __init__(self, secret: str, tls: Tls | None) -> None:
+    def __init__(
+        self,
+        secret: str,
+        tls: Tls | None,
+        overrides: Mapping[str, str] | None = None,
+    ) -> None:
         self._metadata = {_SECRET_HEADER: secret}
         self._tls = tls
+        self._overrides = overrides or {}
         self._channels: dict[str, Channel] = {}
 
     async def call(
@@ -243,7 +249,8 @@
     def _channel(self, address: str) -> Channel:
         channel = self._channels.get(address)
         if channel is None:
-            host, _colon, port = address.rpartition(':')
+            dialled = self._overrides.get(address, address)
+            host, _colon, port = dialled.rpartition(':')
             context = client_context(self._tls) if self._tls else None
             channel = Channel(
                 host, int(port), ssl=context, codec=MessageCodec()
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -116,6 +116,9 @@
     # Without TLS only loopback is listened on unless this is true.
     allow_plaintext_beyond_loopback: bool = False
     links: tuple[Link, ...] = ()
+    # Addresses to connect to in place of those that VMs register, for VMs
+    # behind address translation.
+    address_overrides: dict[str, str] = {}
     drain_deadline_ms: int = pydantic.Field(default=30_000, ge=0)
     log: Log = Log()
 
--- a/packages/testkit/src/baobabwharf_testkit/fleet_files.py
+++ b/packages/testkit/src/baobabwharf_testkit/fleet_files.py
@@ -15,6 +15,7 @@
     HOST,
     EndpointUnit,
     Vm,
+    address_overrides,
     peer_settings,
     vm_settings,
 )
@@ -56,14 +57,19 @@
     def write_settings(self, vms: dict[str, Vm], links: FleetLinks) -> None:
         """Write the settings file of each VM."""
         for vm_id, vm in vms.items():
-            peers = [
-                peer_settings(vm, other, links)
-                for other in vms.values()
-                if other is not vm
-            ]
+            others = [other for other in vms.values() if other is not vm]
             settings = vm_settings(
-                self._plan, vm, peers, self._secret_file, self._operator_token
+                self._plan,
+                vm,
+                [peer_settings(other) for other in others],
+                self._secret_file,
+                self._operator_token,
             )
+            overrides: dict[str, str] = {}
+            for other in others:
+                overrides.update(address_overrides(vm, other, links))
+            if overrides:
+                settings['address_overrides'] = overrides
             if self._plan.tls:
                 settings['tls'] = self._tls(vm_id)
             vm.settings_file.write_bytes(msgspec.json.encode(settings))
--- a/packages/testkit/src/baobabwharf_testkit/fleet_units.py
+++ b/packages/testkit/src/baobabwharf_testkit/fleet_units.py
@@ -134,15 +134,24 @@
     return settings
 
 
-def peer_settings(vm: Vm, peer: Vm, links: FleetLinks) -> dict[str, Any]:
-    """Return how the settings of one VM name another one."""
+def address_overrides(vm: Vm, peer: Vm, links: FleetLinks) -> dict[str, str]:
+    """Return the proxies at which a VM reaches another one."""
     ports = links.ports_seen(vm.plan.vm_id, peer.plan.vm_id, peer.ports)
+    return {
+        f'{HOST}:{peer.ports[name]}': f'{HOST}:{port}'
+        for name, port in ports.items()
+        if port != peer.ports[name]
+    }
+
+
+def peer_settings(peer: Vm) -> dict[str, Any]:
+    """Return how the settings of other VMs name this one."""
     return {
         'vm_id': peer.plan.vm_id,
         'region': peer.plan.region,
         'zone': peer.plan.zone,
-        'peer_address': f'{HOST}:{ports["peer_port"]}',
-        'forward_address': f'{HOST}:{ports["forward_port"]}',
+        'peer_address': f'{HOST}:{peer.ports["peer_port"]}',
+        'forward_address': f'{HOST}:{peer.ports["forward_port"]}',
         'caller_url': peer.url,
         'has_disk': peer.plan.has_disk,
     }
