Ask each VM that is named to explain a request

Cause: only the VMs that handled a request know it; the first URL answered "not found" in a trial. Change: explain tries the URLs in order; messages of VMs are shown without their JSON.

--- a/packages/cli/src/baobabwharf_cli/client.py
+++ b/packages/cli/src/baobabwharf_cli/client.py
@@ -82,9 +82,21 @@
         return self._read(CONFIG_PATH, FleetConfig)
 
     def get(self, path: str) -> Result[Any, Fault]:
-        """Return a JSON document."""
+        """Return a JSON document of the first VM that answers."""
         return self._read(path, Any)
 
+    def find(self, path: str) -> Result[Any, Fault]:
+        """Return a JSON document of the first VM that has it."""
+        found: Result[Any, Fault] = Error(
+            Fault(ExitCode.UNREACHABLE, 'No URL is known.')
+        )
+        for url in self._access.urls:
+            access = msgspec.structs.replace(self._access, urls=(url,))
+            found = OperatorApi(access).get(path)
+            if found.is_ok():
+                break
+        return found
+
     def _read(self, path: str, kind: Any) -> Result[Any, Fault]:
         replied = asyncio.run(self._call('GET', path, b''))
         if replied.is_error():
@@ -166,4 +178,8 @@
 
 def _sentence(reply: _Reply) -> str:
     text = reply.content.decode(errors='replace').strip()
-    return f'The VM answered with status {reply.status}: {text}'
+    try:
+        text = str(msgspec.json.decode(reply.content)['error']['message'])
+    except (msgspec.MsgspecError, LookupError, TypeError):
+        return f'The VM answered with status {reply.status}: {text}'
+    return text
--- a/packages/cli/src/baobabwharf_cli/fleet.py
+++ b/packages/cli/src/baobabwharf_cli/fleet.py
@@ -69,7 +69,8 @@
     def perform(self) -> ExitCode:
         """Print the sentences."""
         request_id = quote(self.argument('request-id'), safe='')
-        read = self.api.get(f'{REQUESTS_PATH}/{request_id}')
+        # Only the VMs that handled the request know it.
+        read = self.api.find(f'{REQUESTS_PATH}/{request_id}')
         if read.is_error():
             return self.fail(read.error)
         if self.option('json'):
