--- a/packages/testkit/src/baobabwharf_testkit/faultproxy.py
+++ b/packages/testkit/src/baobabwharf_testkit/faultproxy.py
@@ -175,9 +175,11 @@
             await direction.passable.wait()
             if not chunk:
                 break
+            _check_open(writer)
             writer.write(chunk)
             await writer.drain()
         await self._silence()
+        _check_open(writer)
         writer.write_eof()
 
     async def _after_failure(self) -> None:
@@ -191,6 +193,12 @@
             await asyncio.Event().wait()
 
 
+def _check_open(writer: asyncio.StreamWriter) -> None:
+    # uvloop reports the use of a closed transport as a RuntimeError.
+    if writer.transport.is_closing():
+        raise ConnectionResetError('The connection is closed.')
+
+
 async def _read(
     reader: asyncio.StreamReader, queue: _Queue, direction: _Direction
 ) -> None:
