Return plain unions on the path of every request

Cause: cProfile showed 13 Result objects per request; building one with the expression library costs 5.7 us (timeit). Change: unions between the modules of the gateway; Result stays at the interfaces.

--- a/packages/daemon/src/baobabwharf_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/attempts.py
@@ -82,10 +82,10 @@
         self, sink: Sink, record: RequestRecord, sent_before: bool
     ) -> Ended:
         sent = await self._client.send(self._call, self._attempt)
-        if sent.is_error():
-            self._progress.sent = sent_before or sent.error.sent
-            return self._fault(sent.error)
-        response = sent.ok
+        if isinstance(sent, SendFault):
+            self._progress.sent = sent_before or sent.sent
+            return self._fault(sent)
+        response = sent
         try:
             return await self._receive(response, sink, record, sent_before)
         finally:
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
@@ -15,7 +15,6 @@
 )
 from baobabwharf_core.refusals import RefusalCode
 from baobabwharf_core.requests import EndpointChoice
-from expression import Error, Ok, Result
 from yarl import URL
 
 from baobabwharf_daemon.gateway.calls import Call
@@ -72,14 +71,14 @@
 
     async def send(
         self, call: Call, attempt: Attempt
-    ) -> Result[aiohttp.ClientResponse, SendFault]:
+    ) -> aiohttp.ClientResponse | SendFault:
         """Send a call and wait for the headers of the answer."""
         assert self._session is not None
         extra: dict[str, Any] = {}
         if not call.facts.repeatable:
             extra['middlewares'] = (_send_once,)
         try:
-            response = await self._session.request(
+            return await self._session.request(
                 call.method,
                 _target(attempt.choice.url, call),
                 data=call.body or None,
@@ -97,7 +96,6 @@
             return _fault(True, RefusalCode.ENDPOINT_TIMEOUT, fault)
         except (aiohttp.ClientError, OSError) as fault:
             return _fault(True, RefusalCode.ENDPOINT_FAILED, fault)
-        return Ok(response)
 
     def cancel(self, attempt: Attempt) -> None:
         """Tell an engine in the background to stop working on a call."""
@@ -169,7 +167,5 @@
     return headers
 
 
-def _fault(
-    sent: bool, code: RefusalCode, fault: BaseException
-) -> Result[aiohttp.ClientResponse, SendFault]:
-    return Error(SendFault(sent, code, type(fault).__name__))
+def _fault(sent: bool, code: RefusalCode, fault: BaseException) -> SendFault:
+    return SendFault(sent, code, type(fault).__name__)
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
@@ -32,7 +32,12 @@
     decode_refusal,
     encode_call,
 )
-from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from baobabwharf_daemon.gateway.calls import (
+    ANSWERED,
+    Call,
+    Progress,
+    Sink,
+)
 from baobabwharf_daemon.gateway.records import RequestRecord
 from baobabwharf_daemon.metrics import FORWARDED
 from baobabwharf_daemon.task import Task
@@ -171,7 +176,7 @@
             return _broken(RefusalCode.STREAM_BROKEN, relayed.detail)
         await self._sink.end()
         self._progress.complete = True
-        return Ok(None)
+        return ANSWERED
 
     async def _whole(self) -> Result[None, Refusal]:
         try:
@@ -185,14 +190,14 @@
             )
             self._progress.complete = relayed.complete
             return (
-                Ok(None)
+                ANSWERED
                 if relayed.complete
                 else _broken(RefusalCode.STREAM_BROKEN, relayed.detail)
             )
         self._count(body.content)
         await self._sink.answer(self._response.status, headers, body.content)
         self._progress.complete = True
-        return Ok(None)
+        return ANSWERED
 
     def _count(self, body: bytes) -> None:
         if self._call.completion:
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/serving.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/serving.py
@@ -8,7 +8,7 @@
 from baobabwharf_core.invariants import check_invariant
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_core.requests import EndpointChoice, RequestFacts
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from baobabwharf_daemon.forwarding.attempts import (
     AttemptRun,
@@ -18,7 +18,12 @@
     Attempt,
     EndpointClient,
 )
-from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from baobabwharf_daemon.gateway.calls import (
+    ANSWERED,
+    Call,
+    Progress,
+    Sink,
+)
 from baobabwharf_daemon.gateway.records import RequestRecord
 from baobabwharf_daemon.interfaces import Router
 from baobabwharf_daemon.metrics import RETRIES
@@ -82,7 +87,7 @@
                 break
         refusal = self._refusal
         if refusal is None:
-            return Ok(None)
+            return ANSWERED
         record.note(f'No endpoint answered: {refusal.code.value}.')
         return Error(_last(refusal, progress))
 
--- a/packages/daemon/src/baobabwharf_daemon/gateway/auth.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/auth.py
@@ -6,7 +6,6 @@
 import msgspec
 from baobabwharf_core.model import Customer, FleetConfig
 from baobabwharf_core.refusals import Refusal, RefusalCode
-from expression import Error, Ok, Result
 
 from baobabwharf_daemon.interfaces import ConfigSource
 
@@ -45,18 +44,16 @@
         self._keys: dict[bytes, tuple[bytes, Customer, bool]] = {}
         self._endpoint_keys: dict[bytes, tuple[bytes, str]] = {}
 
-    def authenticate(
-        self, authorization: str | None
-    ) -> Result[Caller, Refusal]:
+    def authenticate(self, authorization: str | None) -> Caller | Refusal:
         """Return the caller or the reason why the key does not count."""
         key = bearer_key(authorization)
         if key is None:
-            return Error(Refusal(RefusalCode.KEY_MISSING))
+            return Refusal(RefusalCode.KEY_MISSING)
         digest = digest_of(key)
         refusal = self.refusal_of(digest)
         if refusal is not None:
-            return Error(refusal)
-        return Ok(Caller(self._keys[digest][1], digest, key))
+            return refusal
+        return Caller(self._keys[digest][1], digest, key)
 
     def refusal_of(self, digest: bytes) -> Refusal | None:
         """Return why a key does not count now, or None."""
--- a/packages/daemon/src/baobabwharf_daemon/gateway/body.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/body.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
-from expression import Error, Ok, Result
 from sanic import Request
 from sanic.exceptions import PayloadTooLarge, SanicException
 
@@ -20,16 +19,14 @@
         self._bound = bound
         self._held = 0
 
-    async def read(self, request: Request) -> Result[bytes, Refusal]:
+    async def read(self, request: Request) -> bytes | Refusal:
         """Return the body; the caller must release its size later."""
         announced = _announced(request)
         if self._held + announced > self._bound:
-            return Error(
-                Refusal(
-                    RefusalCode.QUEUE_FULL,
-                    Executed.NO,
-                    retry_after_ms=_RETRY_AFTER_MS,
-                )
+            return Refusal(
+                RefusalCode.QUEUE_FULL,
+                Executed.NO,
+                retry_after_ms=_RETRY_AFTER_MS,
             )
         self._held += announced
         try:
@@ -45,17 +42,17 @@
         """Count a body that is not kept any more."""
         self._held -= size
 
-    async def _receive(self, request: Request) -> Result[bytes, Refusal]:
+    async def _receive(self, request: Request) -> bytes | Refusal:
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 await request.receive_body()
         except TimeoutError:
             return _invalid('The body was not sent in time.')
         except PayloadTooLarge:
-            return Error(Refusal(RefusalCode.REQUEST_TOO_LARGE))
+            return Refusal(RefusalCode.REQUEST_TOO_LARGE)
         except SanicException as fault:
             return _invalid(str(fault))
-        return Ok(request.body)
+        return request.body
 
 
 def _announced(request: Request) -> int:
@@ -63,5 +60,5 @@
     return int(length) if length.isdecimal() else 0
 
 
-def _invalid(detail: str) -> Result[bytes, Refusal]:
-    return Error(Refusal(RefusalCode.INVALID_REQUEST, detail=detail))
+def _invalid(detail: str) -> Refusal:
+    return Refusal(RefusalCode.INVALID_REQUEST, detail=detail)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/bookings.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/bookings.py
@@ -7,9 +7,14 @@
 
 from baobabwharf_core.ids import VmId
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
-from expression import Error, Ok, Result
-
-from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from expression import Error, Result
+
+from baobabwharf_daemon.gateway.calls import (
+    ANSWERED,
+    Call,
+    Progress,
+    Sink,
+)
 from baobabwharf_daemon.gateway.pipeline import Pipeline
 from baobabwharf_daemon.gateway.records import RequestRecord
 from baobabwharf_daemon.interfaces import ClaimClient, ClaimState
@@ -184,7 +189,7 @@
         if claim.content_type:
             headers['Content-Type'] = claim.content_type
         await sink.answer(claim.status, headers, claim.body)
-        return Ok(None)
+        return ANSWERED
     if claim.state == 'running':
         return Error(
             Refusal(
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -3,7 +3,6 @@
 import msgspec
 from baobabwharf_core.model import RouteRule
 from baobabwharf_core.refusals import Refusal, RefusalCode
-from expression import Error, Ok, Result
 from sanic import HTTPResponse, Request, Sanic
 
 from baobabwharf_daemon.gateway.auth import Caller, KeyIndex
@@ -94,64 +93,61 @@
     async def _complete(self, request: Request) -> None:
         sink = SanicSink(request)
         caller = self._admit(request)
-        if caller.is_error():
-            await self._refuse(caller.error, sink)
+        if isinstance(caller, Refusal):
+            await self._refuse(caller, sink)
             return
         body = await self._bodies.read(request)
-        if body.is_error():
-            await self._refuse(body.error, sink)
+        if isinstance(body, Refusal):
+            await self._refuse(body, sink)
             return
-        call = self._completions.build(
-            request, request.path, body.ok, caller.ok
-        )
-        if call.is_error():
-            await self._refuse(call.error, sink)
+        call = self._completions.build(request, request.path, body, caller)
+        if isinstance(call, Refusal):
+            await self._refuse(call, sink)
             return
-        await self._run(call.ok, caller.ok.digest, sink)
+        await self._run(call, caller.digest, sink)
 
     async def _call_service(self, request: Request) -> None:
         sink = SanicSink(request)
         checked = self._service_rule(request)
-        if checked.is_error():
-            await self._refuse(checked.error, sink)
+        if isinstance(checked, Refusal):
+            await self._refuse(checked, sink)
             return
-        rule, caller = checked.ok
+        rule, caller = checked
         body = await self._bodies.read(request)
-        if body.is_error():
-            await self._refuse(body.error, sink)
+        if isinstance(body, Refusal):
+            await self._refuse(body, sink)
             return
-        call = self._services.build(request, rule, body.ok, caller)
-        if call.is_error():
-            await self._refuse(call.error, sink)
+        call = self._services.build(request, rule, body, caller)
+        if isinstance(call, Refusal):
+            await self._refuse(call, sink)
             return
         digest = caller.digest if caller else b''
         key = request.headers.get('idempotency-key')
-        await self._run(call.ok, digest, sink, key)
+        await self._run(call, digest, sink, key)
 
     def _service_rule(
         self, request: Request
-    ) -> Result[tuple[RouteRule, Caller | None], Refusal]:
+    ) -> tuple[RouteRule, Caller | None] | Refusal:
         refusal = self._ready()
         if refusal is not None:
-            return Error(refusal)
+            return refusal
         service, path = split_path(request)
         rule = self._parts.routes.find(self._parts.source.config, service, path)
         if rule is None:
-            return Error(Refusal(RefusalCode.SERVICE_UNKNOWN))
+            return Refusal(RefusalCode.SERVICE_UNKNOWN)
         caller = self._service_caller(request, rule.open_to_all)
-        if caller.is_error():
-            return Error(caller.error)
-        return Ok((rule, caller.ok))
+        if isinstance(caller, Refusal):
+            return caller
+        return rule, caller
 
     def _service_caller(
         self, request: Request, open_to_all: bool
-    ) -> Result[Caller | None, Refusal]:
+    ) -> Caller | Refusal | None:
         if open_to_all:
-            return Ok(None)
-        caller = self._parts.keys.authenticate(
+            return None
+        return self._parts.keys.authenticate(
             request.headers.get('authorization')
         )
-        return Ok(caller.ok) if caller.is_ok() else Error(caller.error)
 
     async def _run(
         self,
@@ -180,10 +176,10 @@
             lambda: parts.pipeline.run(call, sink, record, Progress()),
         )
 
-    def _admit(self, request: Request) -> Result[Caller, Refusal]:
+    def _admit(self, request: Request) -> Caller | Refusal:
         refusal = self._ready()
         if refusal is not None:
-            return Error(refusal)
+            return refusal
         return self._parts.keys.authenticate(
             request.headers.get('authorization')
         )
@@ -204,14 +200,14 @@
 
     async def _models(self, request: Request) -> HTTPResponse:
         caller = self._admit(request)
-        if caller.is_error():
-            return self._plain_refusal(caller.error)
+        if isinstance(caller, Refusal):
+            return self._plain_refusal(caller)
         return _json(model_list(self._parts.catalog))
 
     async def _model(self, request: Request, model: str) -> HTTPResponse:
         caller = self._admit(request)
-        if caller.is_error():
-            return self._plain_refusal(caller.error)
+        if isinstance(caller, Refusal):
+            return self._plain_refusal(caller)
         for entry in model_list(self._parts.catalog)['data']:
             if entry['id'] == model:
                 return _json(entry)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/calls.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/calls.py
@@ -4,7 +4,9 @@
 from collections.abc import Mapping
 
 import msgspec
+from baobabwharf_core.refusals import Refusal
 from baobabwharf_core.requests import RequestFacts
+from expression import Ok, Result
 
 
 class Call(msgspec.Struct, frozen=True):
@@ -42,6 +44,10 @@
     return min(facts.reserved_tokens, prompt + progress.tokens)
 
 
+# Built once, since building a Result costs 6 µs.
+ANSWERED: Result[None, Refusal] = Ok(None)
+
+
 class Sink(abc.ABC):
     """Take the answer to one call."""
 
--- a/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
@@ -3,7 +3,6 @@
 from baobabwharf_core.ids import ModelId, WorkClass
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import RequestFacts
-from expression import Error, Ok, Result
 from sanic import Request
 
 from baobabwharf_daemon.gateway.auth import Caller
@@ -44,56 +43,52 @@
 
     def build(
         self, request: Request, path: str, body: bytes, caller: Caller
-    ) -> Result[Call, Refusal]:
+    ) -> Call | Refusal:
         """Return the call of a valid request."""
         checked = parse_body(path, scrub_json(body, caller.key))
         if checked.is_error():
-            return Error(checked.error)
+            return checked.error
         parsed = checked.ok
         facts = self._facts(request, path, parsed, caller)
-        if facts.is_error():
-            return Error(facts.error)
-        return Ok(
-            Call(
-                facts=facts.ok,
-                method='POST',
-                path=path,
-                query='',
-                headers=_HEADERS,
-                body=parsed.body,
-                completion=True,
-                choices=parsed.choices,
-            )
+        if isinstance(facts, Refusal):
+            return facts
+        return Call(
+            facts=facts,
+            method='POST',
+            path=path,
+            query='',
+            headers=_HEADERS,
+            body=parsed.body,
+            completion=True,
+            choices=parsed.choices,
         )
 
     def _facts(
         self, request: Request, path: str, parsed: ParsedBody, caller: Caller
-    ) -> Result[RequestFacts, Refusal]:
+    ) -> RequestFacts | Refusal:
         service = self._catalog.models().get(ModelId(parsed.model))
         if service is None:
-            return Error(Refusal(RefusalCode.MODEL_UNKNOWN))
+            return Refusal(RefusalCode.MODEL_UNKNOWN)
         config = self._source.config
         rule = self._routes.find(config, service, path)
         demands = read_demands(request)
         target = choose_target(
             config, demands, rule.work_class if rule else _DEFAULT_CLASS
         )
-        if target.is_error():
-            return Error(target.error)
+        if isinstance(target, Refusal):
+            return target
         residency = narrow_residency(
             caller.customer.residency, demands.residency
         )
-        if residency.is_error():
-            return Error(residency.error)
-        return Ok(
-            completion_facts(
-                self._request_ids.next_id(),
-                caller.customer,
-                service,
-                target.ok,
-                residency.ok,
-                parsed,
-            )
+        if isinstance(residency, Refusal):
+            return residency
+        return completion_facts(
+            self._request_ids.next_id(),
+            caller.customer,
+            service,
+            target,
+            residency,
+            parsed,
         )
 
 
--- a/packages/daemon/src/baobabwharf_daemon/gateway/facts.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/facts.py
@@ -1,4 +1,8 @@
-"""Derive the facts of a request from its headers and the configuration."""
+"""Derive the facts of a request from its headers and the configuration.
+
+Outcomes on the path of every request are plain unions: building a Result of
+the expression library costs 6 µs, more than most of the steps themselves.
+"""
 
 import itertools
 import secrets
@@ -16,7 +20,6 @@
 from baobabwharf_core.prefix import prefix_hashes
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import RequestFacts
-from expression import Error, Ok, Result
 
 from baobabwharf_daemon.gateway.parse import ParsedBody, body_tokens
 
@@ -75,33 +78,33 @@
 
 def choose_target(
     config: FleetConfig, demands: Demands, rule_class: WorkClass
-) -> Result[Target, Refusal]:
+) -> Target | Refusal:
     """Return the target of the class that was asked for."""
     asked = demands.work_class
     if asked is not None:
         target = config.targets.get(WorkClass(asked))
         if target is None:
-            return Error(Refusal(RefusalCode.WORK_CLASS_UNKNOWN))
-        return Ok(target)
+            return Refusal(RefusalCode.WORK_CLASS_UNKNOWN)
+        return target
     target = config.targets.get(rule_class)
     if target is None:
         target = msgspec.structs.replace(_DEFAULT_TARGET, work_class=rule_class)
-    return Ok(target)
+    return target
 
 
 def narrow_residency(
     allowed: tuple[RegionId, ...], asked: str | None
-) -> Result[tuple[RegionId, ...], Refusal]:
+) -> tuple[RegionId, ...] | Refusal:
     """Return the regions that both the customer and the caller allow."""
     if asked is None:
-        return Ok(allowed)
+        return allowed
     named = [part.strip() for part in asked.split(',')]
     regions = tuple(RegionId(name) for name in named if name)
     if allowed:
         regions = tuple(name for name in regions if name in allowed)
     if not regions:
-        return Error(Refusal(RefusalCode.RESIDENCY_CONFLICT))
-    return Ok(regions)
+        return Refusal(RefusalCode.RESIDENCY_CONFLICT)
+    return regions
 
 
 def completion_facts(
--- a/packages/daemon/src/baobabwharf_daemon/gateway/pipeline.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/pipeline.py
@@ -4,7 +4,7 @@
 
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import RegionChoice, RequestFacts, Reservation
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from baobabwharf_daemon.forwarding.forwarder import Forwarder
 from baobabwharf_daemon.forwarding.serving import Serving
@@ -57,25 +57,25 @@
         if chosen.is_error():
             return Error(chosen.error)
         taken = await self._reserve(call.facts)
-        if taken.is_error():
-            return Error(taken.error)
+        if isinstance(taken, Refusal):
+            return Error(taken)
         record.step('reserve')
         try:
             return await self._dispatch(call, chosen.ok, sink, record, progress)
         finally:
-            self._settle(call.facts, taken.ok, progress)
+            self._settle(call.facts, taken, progress)
 
     async def _reserve(
         self, facts: RequestFacts
-    ) -> Result[Reservation | None, Refusal]:
+    ) -> Reservation | Refusal | None:
         if facts.customer_id == OPEN_CUSTOMER:
-            return Ok(None)
+            return None
         reserved = await self._limits.reserve(
             facts.customer_id, facts.reserved_tokens, facts.first_token_ms
         )
         if reserved.is_error():
-            return Error(reserved.error)
-        return Ok(reserved.ok)
+            return reserved.error
+        return reserved.ok
 
     def _settle(
         self,
--- a/packages/daemon/src/baobabwharf_daemon/gateway/services.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/services.py
@@ -3,7 +3,6 @@
 from baobabwharf_core.ids import CustomerId
 from baobabwharf_core.model import RouteRule
 from baobabwharf_core.refusals import Refusal
-from expression import Error, Ok, Result
 from sanic import Request
 
 from baobabwharf_daemon.gateway.auth import Caller
@@ -40,35 +39,33 @@
         rule: RouteRule,
         body: bytes,
         caller: Caller | None,
-    ) -> Result[Call, Refusal]:
+    ) -> Call | Refusal:
         """Return the call of a valid request."""
         demands = read_demands(request)
         target = choose_target(self._source.config, demands, rule.work_class)
-        if target.is_error():
-            return Error(target.error)
+        if isinstance(target, Refusal):
+            return target
         allowed = caller.customer.residency if caller else ()
         residency = narrow_residency(allowed, demands.residency)
-        if residency.is_error():
-            return Error(residency.error)
+        if isinstance(residency, Refusal):
+            return residency
         key = sent_key(request)
         _service, path = split_path(request)
-        return Ok(
-            Call(
-                facts=service_facts(
-                    self._request_ids.next_id(),
-                    _customer_id(caller),
-                    rule,
-                    target.ok,
-                    residency.ok,
-                    body,
-                ),
-                method=request.method,
-                path=scrub_url(path, key),
-                query=scrub_url(request.query_string, key),
-                headers=passed_headers(list(request.headers.items()), key),
-                body=_scrub_body(request, body, key),
-                completion=False,
-            )
+        return Call(
+            facts=service_facts(
+                self._request_ids.next_id(),
+                _customer_id(caller),
+                rule,
+                target,
+                residency,
+                body,
+            ),
+            method=request.method,
+            path=scrub_url(path, key),
+            query=scrub_url(request.query_string, key),
+            headers=passed_headers(list(request.headers.items()), key),
+            body=_scrub_body(request, body, key),
+            completion=False,
         )
 
 
