--- a/packages/daemon/src/baobabwharf_daemon/gateway/bookings.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/bookings.py
@@ -7,9 +7,14 @@
 
 from baobabwharf_core.ids import VmId
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
-from expression import Error, Ok, Result
-
-from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
+from expression import Error, Result
+
+from baobabwharf_daemon.gateway.calls import (
+    ANSWERED,
+    Call,
+    Progress,
+    Sink,
+)
 from baobabwharf_daemon.gateway.pipeline import Pipeline
 from baobabwharf_daemon.gateway.records import RequestRecord
 from baobabwharf_daemon.interfaces import ClaimClient, ClaimState
@@ -49,8 +54,8 @@
     async def write(self, chunk: bytes) -> None:
         await self._sink.write(chunk)
 
-    async def end(self) -> None:
-        await self._sink.end()
+    async def finish(self, chunk: bytes) -> None:
+        await self._sink.finish(chunk)
 
     async def answer(
         self, status: int, headers: Mapping[str, str], body: bytes
@@ -184,7 +189,7 @@
         if claim.content_type:
             headers['Content-Type'] = claim.content_type
         await sink.answer(claim.status, headers, claim.body)
-        return Ok(None)
+        return ANSWERED
     if claim.state == 'running':
         return Error(
             Refusal(
