Wire all parts into one daemon: the whole path runs

Cause: the parts existed, but no process held them. Change: app.py builds every task and connects gossip, configuration, routing and HTTP; fleet status reports revisions; limits use an equal static share on each VM until shares can be lent between VMs.

--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/app.py
@@ -0,0 +1,213 @@
+"""Build all tasks of a daemon, run them and stop them in order."""
+
+import asyncio
+import logging
+import os
+import random
+import signal
+from typing import final
+
+from baobabwharf_core.clock import SystemClock
+from baobabwharf_core.ids import Incarnation
+from baobabwharf_core.invariants import on_violation
+from baobabwharf_decisions.membership.items import Summary
+
+from baobabwharf_daemon.consensus_parts import (
+    ConsensusParts,
+    build_consensus_parts,
+)
+from baobabwharf_daemon.fleet_status import FleetStatus
+from baobabwharf_daemon.gateway_parts import (
+    Gateway,
+    GatewayInputs,
+    RegistryCatalog,
+    build_gateway,
+)
+from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.operator.events import EventLog
+from baobabwharf_daemon.registration import Registration, own_record
+from baobabwharf_daemon.routing_parts import RoutingParts, build_routing
+from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.task import Task
+
+EXIT_BROKEN_INVARIANT = 70
+_REGION_TOPIC = 'region'
+_STATUS_TOPIC = 'status'
+
+_log = get_logger('daemon')
+
+
+@final
+class Daemon:
+    """Hold the tasks of one VM."""
+
+    def __init__(self, settings: Settings) -> None:
+        secret = read_secret(settings.fleet_secret_file)
+        self._settings = settings
+        self._clock = SystemClock()
+        self._random = random.Random()
+        self._record = own_record(settings, Incarnation(self._clock.wall_ms()))
+        self._server = RpcServer(secret, settings.tls)
+        self._client = RpcClient(secret, settings.tls)
+        self._events = EventLog(self._clock)
+        self._version = 0
+        self._consensus = self._build_consensus()
+        self._limits = self._build_limits()
+        self._routing = self._build_routing()
+        self._status = self._build_status()
+        self._gateway = self._build_gateway()
+        self._connect_gossip()
+        self._started: list[Task] = []
+
+    async def start(self) -> None:
+        """Start every task; callers are served last."""
+        listen = self._settings.listen
+        await self._server.start(listen.host, listen.peer_port)
+        registration = Registration(
+            self._record,
+            self._consensus.follower,
+            self._consensus.changes,
+            self._random,
+        )
+        order: tuple[Task, ...] = (
+            *self._consensus.tasks,
+            *self._limits.tasks,
+            self._routing,
+            self._status,
+            registration,
+            self._gateway,
+        )
+        for task in order:
+            await task.start()
+            self._started.append(task)
+        _log.info('VM %s is running.', self._settings.vm_id)
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; a second request ends running work."""
+        _log.info('A stop was requested.')
+        self._gateway.drain.request_stop()
+
+    async def run_until_stopped(self) -> None:
+        """Wait for the drain, then release everything."""
+        await self._gateway.drain.wait()
+        while self._started:
+            await self._started.pop().stop()
+        self._client.close()
+        await self._server.stop()
+        self._gateway.drain.released()
+        _log.info('VM %s has stopped.', self._settings.vm_id)
+
+    def _build_consensus(self) -> ConsensusParts:
+        return build_consensus_parts(
+            self._settings,
+            self._clock,
+            self._random,
+            self._server,
+            self._client,
+            lambda: self._limits.peers.live_vms(),
+        )
+
+    def _build_limits(self) -> LimitsParts:
+        return build_limits_parts(
+            self._settings,
+            self._clock,
+            self._random,
+            self._server,
+            self._client,
+            self._consensus.follower,
+        )
+
+    def _build_routing(self) -> RoutingParts:
+        return build_routing(
+            self._settings,
+            self._clock,
+            self._random,
+            self._server,
+            self._client,
+            self._consensus.follower,
+            self._limits.peers,
+        )
+
+    def _build_status(self) -> FleetStatus:
+        return FleetStatus(
+            self._record,
+            self._clock,
+            self._consensus.follower,
+            self._limits.peers,
+            self._role,
+            lambda payload: self._publish(_STATUS_TOPIC, payload),
+        )
+
+    def _role(self) -> str:
+        consensus = self._consensus.consensus
+        return 'follower only' if consensus is None else consensus.role
+
+    def _publish(self, topic: str, payload: bytes) -> None:
+        # Wall time keeps versions growing across restarts of a VM.
+        self._version = max(self._version + 1, self._clock.wall_ms())
+        self._limits.peers.publish_summary(topic, self._version, payload)
+
+    def _connect_gossip(self) -> None:
+        follower = self._consensus.follower
+        peers = self._limits.peers
+        peers.listeners.on_tombstone(
+            lambda digest: follower.accept_withdrawals((digest,))
+        )
+        peers.listeners.on_summary(self._on_summary)
+        follower.on_withdrawals(self._spread_withdrawals)
+        self._routing.publish_with(
+            lambda payload: self._publish(_REGION_TOPIC, payload)
+        )
+
+    def _on_summary(self, summary: Summary) -> None:
+        if summary.topic == _REGION_TOPIC:
+            self._routing.on_summary(summary.origin, summary.payload)
+        elif summary.topic == _STATUS_TOPIC:
+            self._status.on_report(summary.origin, summary.payload)
+
+    def _spread_withdrawals(self, digests: frozenset[bytes]) -> None:
+        for digest in digests:
+            self._limits.peers.publish_tombstone(digest)
+
+    def _build_gateway(self) -> Gateway:
+        parts = self._consensus
+        return build_gateway(
+            GatewayInputs(
+                settings=self._settings,
+                clock=self._clock,
+                source=parts.follower,
+                changes=parts.changes,
+                claims=parts.claims,
+                limits=self._limits.lending,
+                membership=self._limits.peers,
+                router=self._routing.router,
+                registry=self._routing.registry,
+                catalog=RegistryCatalog(self._routing.registry),
+                status=self._status,
+                tombstone=lambda digest: parts.follower.accept_withdrawals(
+                    (digest,)
+                ),
+                events=self._events,
+            )
+        )
+
+
+def _stop_on_violation(sentence: str) -> None:
+    """End the process at once, so that nothing acts on a broken state."""
+    _log.critical('Invariant is broken: %s', sentence, stack_info=True)
+    logging.shutdown()
+    os._exit(EXIT_BROKEN_INVARIANT)
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Run one daemon until it is stopped; return the exit code."""
+    on_violation(_stop_on_violation)
+    daemon = Daemon(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    await daemon.start()
+    await daemon.run_until_stopped()
+    return 0
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/fleet_status.py
@@ -0,0 +1,131 @@
+"""Tell operators which revision is in force on each VM."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.ids import Revision, VmId
+from baobabwharf_core.model import VmRecord
+
+from baobabwharf_daemon.interfaces import (
+    ConfigSource,
+    MembershipView,
+    StatusSource,
+    VmStatus,
+)
+from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.task import Task
+
+# A change of revision is published at once; this refreshes role and age.
+_REFRESH_S = 5.0
+_MS_PER_S = 1000
+_UNKNOWN_AGE_MS = -1
+
+Publisher = Callable[[bytes], None]
+RoleSource = Callable[[], str]
+
+_log = get_logger('status')
+
+
+class RevisionReport(msgspec.Struct, frozen=True):
+    """Report the revision in force on a VM and its age in ms."""
+
+    revision: Revision
+    age_ms: int
+    role: str
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    report: RevisionReport
+    at_ms: int
+
+
+@final
+class FleetStatus(StatusSource, Task):
+    """Publish the own revision and collect those of the other VMs."""
+
+    def __init__(
+        self,
+        own: VmRecord,
+        clock: Clock,
+        config: ConfigSource,
+        membership: MembershipView,
+        role: RoleSource,
+        publisher: Publisher,
+    ) -> None:
+        self._own = own
+        self._clock = clock
+        self._config = config
+        self._membership = membership
+        self._role = role
+        self._publisher = publisher
+        self._heard: dict[VmId, _Heard] = {}
+        self._loop: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to publish."""
+        self._loop = asyncio.create_task(self._publish_forever())
+
+    async def stop(self) -> None:
+        """Stop publishing."""
+        if self._loop is not None:
+            self._loop.cancel()
+            await asyncio.gather(self._loop, return_exceptions=True)
+
+    def on_report(self, origin: VmId, payload: bytes) -> None:
+        """Take the report of another VM."""
+        try:
+            report = decode(payload, RevisionReport)
+        except msgspec.DecodeError:
+            _log.warning('VM %s sent a malformed report.', origin)
+            return
+        self._heard[origin] = _Heard(report, self._clock.now_ms())
+
+    def vm_status(self) -> tuple[VmStatus, ...]:
+        """Return one entry for each known VM, this VM included."""
+        live = {vm.vm_id: vm for vm in self._membership.live_vms()}
+        known = {**self._config.config.vms, **live}
+        known[self._own.vm_id] = self._own
+        return tuple(
+            self._describe(vm, vm.vm_id in live)
+            for _vm_id, vm in sorted(known.items())
+        )
+
+    def _describe(self, vm: VmRecord, alive: bool) -> VmStatus:
+        report = self._report_of(vm.vm_id)
+        return VmStatus(
+            vm.vm_id,
+            vm.region,
+            vm.zone,
+            report.revision,
+            report.age_ms,
+            alive,
+            report.role,
+            vm.incarnation,
+        )
+
+    def _report_of(self, vm_id: VmId) -> RevisionReport:
+        if vm_id == self._own.vm_id:
+            return self._own_report()
+        heard = self._heard.get(vm_id)
+        if heard is None:
+            return RevisionReport(Revision(0), _UNKNOWN_AGE_MS, 'unknown')
+        since_ms = self._clock.now_ms() - heard.at_ms
+        return msgspec.structs.replace(
+            heard.report, age_ms=heard.report.age_ms + since_ms
+        )
+
+    def _own_report(self) -> RevisionReport:
+        revision = self._config.config.revision
+        return RevisionReport(revision, self._config.age_ms, self._role())
+
+    async def _publish_forever(self) -> None:
+        changes = self._config.subscribe()
+        while True:
+            self._publisher(encode(self._own_report()))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changes.get(), _REFRESH_S)
