Add functional scenarios with real daemons

Cause: wrong answers, repeated work and leaked keys show only with several processes. Change: thirteen scenarios on one small fleet behind fault proxies.

--- /dev/null
+++ b/features/steps/fleet.py
@@ -0,0 +1,445 @@
+"""Run real daemons and disturb them."""
+
+import asyncio
+import itertools
+import time
+
+import msgspec
+from baobabwharf_core.changes import ChangeCode, SetCap, WithdrawKey
+from baobabwharf_core.ids import CustomerId, KeyId, RequestId
+from baobabwharf_testkit.answers import body_digest
+from baobabwharf_testkit.calls import (
+    CallKind,
+    Outcome,
+    booking_call,
+    completion_call,
+)
+from baobabwharf_testkit.loop_thread import LoopThread
+from baobabwharf_testkit.small_fleet import EMPTY, FIRST, SECOND, SmallFleet
+from baobabwharf_testkit.soak_clients import Flood
+from baobabwharf_testkit.workload import CustomerPlan
+from behave import given, then, when
+from behave.runner import Context
+
+_SEED = 11
+_SETTLE_S = 20
+_FLOOD_S = 4
+_FLOOD_RATE = 300
+# Clients of 4 VMs, each with this many calls at once.
+_FLOOD_EACH = 3
+
+
+class FleetSubject:
+    """Start the small fleet once for a feature and make calls."""
+
+    def __init__(self) -> None:
+        print(f'Fleet seed {_SEED}.')
+        self.loop = LoopThread()
+        self.small = SmallFleet(_SEED)
+        self.numbers = itertools.count(1)
+        try:
+            self.run(self.small.start())
+        except BaseException:
+            self.small.fleet.kill_all()
+            raise
+
+    def run(self, work):
+        return self.loop.run(work)
+
+    def name(self) -> str:
+        return f'f{next(self.numbers)}'
+
+    def customer(self, *residency: str) -> str:
+        return self.run(self.small.customer(self.name(), *residency))
+
+    def chat(self, tokens: int = 8):
+        prompt = f'{self.name()} asks'
+        return completion_call(CallKind.CHAT, 'rota-model', prompt, tokens)
+
+    def booking(self):
+        return booking_call('rota-app', '/bookings', self.name())
+
+    def vms(self) -> list[str]:
+        return list(self.small.fleet.vms)
+
+    def ran(self, call) -> int:
+        evidence = self.run(self.small.evidence())
+        return evidence.runs[body_digest(call.body)]
+
+    def same_revision(self) -> bool:
+        end = time.monotonic() + _SETTLE_S
+        while time.monotonic() < end:
+            found = {
+                self.run(self.small.revision(vm_id)) for vm_id in self.vms()
+            }
+            if len(found) == 1 and -1 not in found:
+                return True
+            time.sleep(0.1)
+        return False
+
+    def close(self) -> None:
+        try:
+            self.run(self.small.fleet.stop())
+        finally:
+            self.small.fleet.kill_all()
+            self.loop.close()
+
+
+def _vm(region: str) -> str:
+    return f'{region}-vm1'
+
+
+def _cap(name: str, rate: int) -> SetCap:
+    return SetCap(CustomerId(name), rate, rate)
+
+
+@given('the fleet runs')
+def running(context: Context) -> None:
+    feature = context.feature
+    if not hasattr(feature, 'fleet'):
+        feature.fleet = FleetSubject()
+        context.add_cleanup(feature.fleet.close, layer='feature')
+    context.fleet = feature.fleet
+
+
+@when('a fleet caller in the region without endpoints streams a chat')
+def streams(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer()
+    context.answered = fleet.run(
+        fleet.small.perform(key, _vm(EMPTY), fleet.chat())
+    )
+
+
+@then('the fleet answer is complete')
+def complete(context: Context) -> None:
+    judgement, _answer = context.answered
+    assert judgement.outcome is Outcome.COMPLETE, judgement
+
+
+@then('the fleet request reached one endpoint and showed it no key')
+def reached_once(context: Context) -> None:
+    _judgement, answer = context.answered
+    fleet = context.fleet
+    seen = fleet.run(fleet.small.seen(answer.headers['x-request-id']))
+    assert len(seen) == 1, seen
+    evidence = fleet.run(fleet.small.evidence())
+    assert evidence.requests_with_key == 0
+
+
+@when('a fleet caller bound to the region without endpoints asks')
+def asks_bound(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer(EMPTY)
+    context.answers = [
+        fleet.run(fleet.small.send(key, vm_id, fleet.chat()))
+        for vm_id in fleet.vms()
+    ]
+
+
+@then('the fleet refuses it as not run and no endpoint saw the request')
+def not_run(context: Context) -> None:
+    fleet = context.fleet
+    for judgement, answer in context.answers:
+        assert judgement.outcome is Outcome.REFUSED, judgement
+        request_id = answer.headers['x-request-id']
+        assert fleet.run(fleet.small.seen(request_id)) == []
+
+
+@when('the key of a fleet caller is withdrawn while it streams')
+def withdrawn(context: Context) -> None:
+    fleet = context.fleet
+    name = fleet.name()
+    context.key = fleet.run(fleet.small.customer(name))
+    call = fleet.chat(1200)
+    work = fleet.loop.begin(fleet.small.send(context.key, _vm(EMPTY), call))
+    time.sleep(0.5)
+    change = WithdrawKey(KeyId(name))
+    fleet.run(fleet.small.accept(_vm(FIRST), change))
+    context.answered = work.result(30)
+
+
+@then('the fleet stream ends with an error and the key is refused everywhere')
+def stream_ended(context: Context) -> None:
+    judgement, answer = context.answered
+    assert judgement.outcome in {Outcome.FAILED, Outcome.BROKEN}, judgement
+    assert answer.content.count(b'data: ') > 1
+    fleet = context.fleet
+    for vm_id in fleet.vms():
+        sent = fleet.small.send(context.key, vm_id, fleet.chat())
+        refused, answer = fleet.run(sent)
+        assert answer.status == 401, (vm_id, refused)
+
+
+@when('a fleet booking is sent at all VMs at once and again later')
+def booked(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer()
+    context.booking = fleet.booking()
+
+    async def book_everywhere():
+        return await asyncio.gather(
+            *(
+                fleet.small.perform(key, vm_id, context.booking)
+                for vm_id in fleet.vms()
+            )
+        )
+
+    first = fleet.run(book_everywhere())
+    context.answers = first + fleet.run(book_everywhere())
+
+
+@then('each complete fleet booking answer is the same and it ran once')
+def booked_once(context: Context) -> None:
+    outcomes = [judgement.outcome for judgement, _answer in context.answers]
+    assert set(outcomes) == {Outcome.COMPLETE}, context.answers
+    assert len({answer.content for _judged, answer in context.answers}) == 1
+    assert context.fleet.ran(context.booking) == 1
+
+
+@when('a fleet booking is sent again with another body')
+def other_body(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer()
+    context.booking = fleet.booking()
+    small = fleet.small
+    first, _answer = fleet.run(small.perform(key, _vm(FIRST), context.booking))
+    assert first.outcome is Outcome.COMPLETE, first
+    other = msgspec.structs.replace(context.booking, body=b'{"other": 1}')
+    context.other = other
+    context.answered = fleet.run(small.perform(key, _vm(SECOND), other))
+
+
+@then('the fleet refuses it with idempotency_mismatch and it ran once')
+def mismatch(context: Context) -> None:
+    judgement, _answer = context.answered
+    assert judgement.reason == 'idempotency_mismatch', judgement
+    assert context.fleet.ran(context.booking) == 1
+    assert context.fleet.ran(context.other) == 0
+
+
+@when('all fleet engines cross their next answers while callers stream')
+def crossed(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer()
+    fleet.run(fleet.small.set_faults(cross_next=2))
+
+    async def stream_everywhere():
+        return await asyncio.gather(
+            *(
+                fleet.small.perform(key, vm_id, fleet.chat())
+                for vm_id in fleet.vms() * 2
+            )
+        )
+
+    context.answers = fleet.run(stream_everywhere())
+    fleet.run(fleet.small.set_faults())
+
+
+@then('no fleet answer is wrong')
+def none_wrong(context: Context) -> None:
+    for judgement, _answer in context.answers:
+        assert judgement.outcome is not Outcome.WRONG, judgement
+    outcomes = [judgement.outcome for judgement, _answer in context.answers]
+    assert Outcome.COMPLETE in outcomes
+
+
+@when('a fleet engine breaks a stream after {tokens:d} tokens')
+def breaks(context: Context, tokens: int) -> None:
+    fleet = context.fleet
+    key = fleet.customer(FIRST, SECOND)
+    call = fleet.chat(20)
+    small = fleet.small
+    fleet.run(small.set_faults(break_next=1, break_after_tokens=tokens))
+    context.answered = fleet.run(small.send(key, _vm(EMPTY), call))
+    fleet.run(small.set_faults())
+
+
+@when('two fleet operators race under one revision')
+def race(context: Context) -> None:
+    fleet = context.fleet
+    name = fleet.name()
+    fleet.run(fleet.small.customer(name))
+    context.customer_name = name
+    revision = fleet.run(fleet.small.revision(_vm(FIRST)))
+
+    async def race_both():
+        return await asyncio.gather(
+            *(
+                fleet.small.change(
+                    _vm(region),
+                    _cap(name, rate),
+                    RequestId(f'race-{rate}'),
+                    revision,
+                    attempts=20,
+                )
+                for rate, region in ((1000, FIRST), (2000, SECOND))
+            )
+        )
+
+    context.outcomes = fleet.run(race_both())
+
+
+@then('one fleet operator is accepted and the other is told of the conflict')
+def one_accepted(context: Context) -> None:
+    codes = sorted(outcome.code.value for outcome in context.outcomes)
+    assert codes == ['accepted', 'revision_conflict'], context.outcomes
+
+
+@then('a resent fleet change gets its first answer')
+def resent(context: Context) -> None:
+    fleet = context.fleet
+    for outcome in context.outcomes:
+        rate = int(outcome.request_id.removeprefix('race-'))
+        change = _cap(context.customer_name, rate)
+        again = fleet.run(
+            fleet.small.change(
+                _vm(EMPTY), change, outcome.request_id, attempts=20
+            )
+        )
+        assert (again.code, again.revision) == (outcome.code, outcome.revision)
+
+
+@when('the first fleet region is partitioned')
+def partitioned(context: Context) -> None:
+    fleet = context.fleet
+    name = fleet.name()
+    context.key = fleet.run(fleet.small.customer(name))
+    context.customer_name = name
+    inside = {vm_id for vm_id in fleet.vms() if vm_id.startswith(FIRST)}
+    outside = set(fleet.vms()) - inside
+    links = fleet.small.fleet.links
+    fleet.loop.call(lambda: links.partition(inside, outside))
+
+
+@then('callers of the first fleet region still get answers')
+def still_served(context: Context) -> None:
+    fleet = context.fleet
+    for vm_id in (f'{FIRST}-vm1', f'{FIRST}-vm2'):
+        judgement, _answer = fleet.run(
+            fleet.small.perform(context.key, vm_id, fleet.chat())
+        )
+        assert judgement.outcome is Outcome.COMPLETE, (vm_id, judgement)
+
+
+@then('its fleet bookings are refused as not run')
+def bookings_refused(context: Context) -> None:
+    fleet = context.fleet
+    context.bookings = []
+    for vm_id in (f'{FIRST}-vm1', f'{FIRST}-vm2'):
+        call = fleet.booking()
+        judgement, _answer = fleet.run(
+            fleet.small.send(context.key, vm_id, call)
+        )
+        assert judgement.outcome is Outcome.REFUSED, (vm_id, judgement)
+        context.bookings.append(call)
+
+
+@then('its fleet operators are not told that a change is accepted')
+def not_accepted(context: Context) -> None:
+    fleet = context.fleet
+    change = _cap(context.customer_name, 5000)
+    outcome = fleet.run(fleet.small.change(_vm(FIRST), change))
+    expected = {ChangeCode.NOT_ACCEPTED, ChangeCode.UNKNOWN}
+    assert outcome.code in expected, outcome
+    fleet.run(fleet.small.accept(_vm(SECOND), change))
+
+
+@when('the fleet is connected again')
+def connected(context: Context) -> None:
+    fleet = context.fleet
+    fleet.loop.call(fleet.small.fleet.links.heal)
+
+
+@then('all fleet VMs reach the same revision')
+def reach_same(context: Context) -> None:
+    assert context.fleet.same_revision()
+
+
+@then('the refused fleet bookings never ran')
+def never_ran(context: Context) -> None:
+    for call in context.bookings:
+        assert context.fleet.ran(call) == 0
+
+
+@when('a fleet VM is killed, loses its data folder and starts again')
+def loses_data(context: Context) -> None:
+    fleet = context.fleet
+    vm_id = _vm(SECOND)
+    processes = fleet.small.fleet
+    processes.vms[vm_id].process.kill()
+    processes.lose_data(vm_id)
+    fleet.customer()
+    fleet.run(processes.restart(vm_id))
+
+
+@when('a fleet customer floods all VMs')
+def floods(context: Context) -> None:
+    fleet = context.fleet
+    name = fleet.name()
+    key = fleet.run(fleet.small.customer(name, rate=_FLOOD_RATE))
+    plan = CustomerPlan(name, FIRST, _FLOOD_RATE, 2 * _FLOOD_RATE)
+    context.flood = Flood(plan)
+
+    async def flood(vm_id: str, end: float) -> None:
+        while time.monotonic() < end:
+            call = completion_call(
+                CallKind.QUICK, 'rota-model', fleet.name(), 8
+            )
+            judgement, answer = await fleet.small.send(key, vm_id, call)
+            if judgement.outcome is Outcome.COMPLETE:
+                context.flood.add(answer)
+
+    async def flood_all() -> None:
+        end = time.monotonic() + _FLOOD_S
+        vms = fleet.vms() * _FLOOD_EACH
+        await asyncio.gather(*(flood(vm_id, end) for vm_id in vms))
+
+    fleet.run(flood_all())
+
+
+@then('the fleet handed out no more than its rate and burst')
+def within_cap(context: Context) -> None:
+    assert context.flood.tokens > 0
+    assert context.flood.worst_ratio <= 1, context.flood.worst_ratio
+
+
+@when('a fleet engine is stopped while it streams')
+def engine_stopped(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer(SECOND)
+    call = fleet.chat(120)
+    work = fleet.loop.begin(fleet.small.send(key, _vm(EMPTY), call))
+    time.sleep(0.5)
+    unit = fleet.small.fleet.endpoints[f'rota-model-{SECOND}-1']
+    context.code = fleet.run(unit.process.terminate(20_000))
+    context.answered = work.result(30)
+    unit.process.start()
+    fleet.run(fleet.small.fleet.wait_registered(f'rota-model-{SECOND}-1'))
+
+
+@when('a fleet VM is stopped while a caller streams through it')
+def vm_stopped(context: Context) -> None:
+    fleet = context.fleet
+    key = fleet.customer()
+    call = fleet.chat(120)
+    vm_id = f'{FIRST}-vm2'
+    work = fleet.loop.begin(fleet.small.send(key, vm_id, call))
+    time.sleep(0.5)
+    process = fleet.small.fleet.vms[vm_id].process
+    context.code = fleet.run(process.terminate(20_000))
+    context.answered = work.result(30)
+
+
+@then('the stopped fleet process ended with code 0')
+def ended_well(context: Context) -> None:
+    assert context.code == 0, context.code
+
+
+@then('the fleet lists the stopped VM no longer')
+def not_listed(context: Context) -> None:
+    fleet = context.fleet
+    listed = fleet.run(fleet.small.listed(_vm(FIRST)))
+    assert sorted(listed) == sorted(
+        _vm(region) for region in (FIRST, SECOND, EMPTY)
+    )
--- a/packages/testkit/src/baobabwharf_testkit/demo.py
+++ b/packages/testkit/src/baobabwharf_testkit/demo.py
@@ -184,7 +184,7 @@
         print(
             f'{evidence.runs.total()} bookings ran, '
             f'{len(evidence.repeated)} of them more than once; '
-            f'{evidence.requests_seen} requests reached the endpoints, '
+            f'{len(evidence.seen)} requests reached the endpoints, '
             f'{evidence.requests_with_key} of them with a key of a caller.'
         )
         complete = sum(
--- a/packages/testkit/src/baobabwharf_testkit/evidence.py
+++ b/packages/testkit/src/baobabwharf_testkit/evidence.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from baobabwharf_testkit.endpoint_control import RUNS_PATH, SEEN_PATH
-from baobabwharf_testkit.endpoint_model import RecordsPage
+from baobabwharf_testkit.endpoint_model import RecordsPage, SeenRequest
 from baobabwharf_testkit.fleet import Fleet
 
 _TIMEOUT_S = 10.0
@@ -17,7 +17,7 @@
     """Count bookings by their body and requests that showed a key."""
 
     runs: Counter[str]
-    requests_seen: int = 0
+    seen: list[SeenRequest] = []
     requests_with_key: int = 0
     requests_not_kept: int = 0
 
@@ -31,7 +31,7 @@
         self.runs.update(run.body_digest for run in page.runs)
         self.requests_not_kept += page.dropped
         for request in page.seen:
-            self.requests_seen += 1
+            self.seen.append(request)
             text = str(request)
             shown = any(secret in text for secret in secrets)
             self.requests_with_key += shown
--- a/packages/testkit/src/baobabwharf_testkit/load.py
+++ b/packages/testkit/src/baobabwharf_testkit/load.py
@@ -62,6 +62,11 @@
         self._ranked: list[str] = []
         self._valid_until_ms = 0.0
 
+    @property
+    def seed_urls(self) -> tuple[str, ...]:
+        """Return the URLs that are asked when no list is known."""
+        return tuple(self._seeds)
+
     def drop(self, url: str) -> None:
         """Forget a VM until the next list names it again."""
         self._ranked = [other for other in self._ranked if other != url]
--- a/packages/testkit/src/baobabwharf_testkit/loop_thread.py
+++ b/packages/testkit/src/baobabwharf_testkit/loop_thread.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import threading
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 ResultT = TypeVar('ResultT')
@@ -28,6 +28,14 @@
         """Start a coroutine and return its concurrent future."""
         return asyncio.run_coroutine_threadsafe(work, self._loop)
 
+    def call(self, function: Callable[[], None]) -> None:
+        """Call a function in the thread of the loop and wait for it."""
+
+        async def work() -> None:
+            function()
+
+        self.run(work())
+
     def close(self) -> None:
         """Stop the loop."""
         self._loop.call_soon_threadsafe(self._loop.stop)
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -0,0 +1,196 @@
+"""Run a small fleet behind fault proxies for functional tests."""
+
+import tempfile
+from pathlib import Path
+
+import aiohttp
+from baobabwharf_core.changes import (
+    Change,
+    ChangeCode,
+    ChangeOutcome,
+    CreateCustomer,
+    CreateKey,
+)
+from baobabwharf_core.ids import (
+    CustomerId,
+    KeyId,
+    RegionId,
+    RequestId,
+    Revision,
+)
+from baobabwharf_core.model import Customer, KeyRecord
+
+from baobabwharf_testkit.calls import Answer, Call, Judgement, judge
+from baobabwharf_testkit.endpoint_control import FAULTS_PATH
+from baobabwharf_testkit.endpoint_model import SeenRequest
+from baobabwharf_testkit.evidence import Evidence, collect_evidence
+from baobabwharf_testkit.fleet import Fleet
+from baobabwharf_testkit.fleet_plan import (
+    ROTAWEN,
+    FleetPlan,
+    LinkPlan,
+    VmPlan,
+    engine_plan,
+    service_plan,
+)
+from baobabwharf_testkit.fleet_setup import make_change, set_up_services
+from baobabwharf_testkit.load import Caller, EntryVms
+from baobabwharf_testkit.operator_client import digest, new_key
+
+FIRST, SECOND, EMPTY = ROTAWEN.regions
+_RATE = 100_000
+_TOKENS_PER_S = 60.0
+_CONFIG_PATH = '/operator/v1/config'
+
+
+class SmallFleet:
+    """Own four VMs in three regions; the last region has no endpoints."""
+
+    def __init__(self, seed: int) -> None:
+        vms = tuple(
+            VmPlan(f'{region}-vm1', region, f'{region}-z1', has_disk=True)
+            for region in ROTAWEN.regions
+        )
+        diskless = VmPlan(f'{FIRST}-vm2', FIRST, f'{FIRST}-z2')
+        plan = FleetPlan(
+            vms=(*vms, diskless), link=LinkPlan(delay_ms=5.0), proxied=True
+        )
+        folder = Path(tempfile.mkdtemp(prefix='baobabwharf-fleet-'))
+        self._fleet = Fleet(plan, folder, seed)
+        self._seed = seed
+        self._keys: list[str] = []
+
+    @property
+    def fleet(self) -> Fleet:
+        """Return the processes."""
+        return self._fleet
+
+    async def start(self) -> None:
+        """Start VMs and endpoints."""
+        await self._fleet.start()
+        operator = self._fleet.operator()
+        await set_up_services(self._fleet, operator, ROTAWEN)
+        await operator.close()
+        for region in (FIRST, SECOND):
+            plan = engine_plan(ROTAWEN, region, 1, _TOKENS_PER_S)
+            self._fleet.add_endpoint(plan)
+            self._fleet.add_endpoint(service_plan(ROTAWEN, region))
+        await self._fleet.wait_registered(*self._fleet.endpoints)
+
+    async def customer(
+        self, name: str, *residency: str, rate: int = _RATE
+    ) -> str:
+        """Create a customer and return its key."""
+        operator = self._fleet.operator()
+        customer = Customer(
+            CustomerId(name),
+            rate,
+            2 * rate,
+            tuple(RegionId(region) for region in residency),
+        )
+        await make_change(operator, CreateCustomer(customer))
+        key = new_key()
+        self._keys.append(key)
+        record = KeyRecord(KeyId(name), CustomerId(name), digest(key))
+        await make_change(operator, CreateKey(record), wait=True)
+        await operator.close()
+        return key
+
+    async def perform(
+        self, key: str, vm_id: str, call: Call, patience_ms: float = 10_000
+    ) -> tuple[Judgement, Answer]:
+        """Send a call at one VM; repeat it as a careful caller does."""
+        caller = self._caller(key, vm_id)
+        try:
+            return await caller.perform(call, patience_ms)
+        finally:
+            await caller.close()
+
+    async def send(
+        self, key: str, vm_id: str, call: Call
+    ) -> tuple[Judgement, Answer]:
+        """Send a call once at one VM."""
+        caller = self._caller(key, vm_id)
+        try:
+            answer = await caller.send(call)
+        finally:
+            await caller.close()
+        return judge(call, answer), answer
+
+    async def change(
+        self,
+        vm_id: str,
+        change: Change,
+        request_id: RequestId | None = None,
+        expected: Revision | None = None,
+        attempts: int = 1,
+    ) -> ChangeOutcome:
+        """Submit a change at one VM."""
+        operator = self._fleet.operator(vm_id)
+        try:
+            return await operator.change(
+                change,
+                request_id=request_id,
+                expected=expected,
+                attempts=attempts,
+            )
+        finally:
+            await operator.close()
+
+    async def accept(self, vm_id: str, change: Change) -> ChangeOutcome:
+        """Submit a change until it is accepted."""
+        outcome = await self.change(vm_id, change, attempts=30)
+        assert outcome.code is ChangeCode.ACCEPTED, outcome
+        return outcome
+
+    async def revision(self, vm_id: str) -> Revision:
+        """Return the revision in force on a VM, or -1 without an answer."""
+        operator = self._fleet.operator(vm_id)
+        config = await operator.get(_CONFIG_PATH)
+        await operator.close()
+        return Revision(config['revision'] if config else -1)
+
+    async def set_faults(self, **faults: int) -> None:
+        """Set the same faults on all engines."""
+        async with aiohttp.ClientSession() as session:
+            for unit in self._fleet.endpoints.values():
+                if 'models' in unit.plan.extra:
+                    url = unit.url + FAULTS_PATH
+                    async with session.post(url, json=faults) as answer:
+                        answer.raise_for_status()
+
+    async def evidence(self) -> Evidence:
+        """Return what the endpoints saw and ran."""
+        return await collect_evidence(self._fleet, self._keys)
+
+    async def seen(self, request_id: str) -> list[SeenRequest]:
+        """Return what the endpoints saw of one request."""
+        evidence = await self.evidence()
+        return [
+            request
+            for request in evidence.seen
+            if request.request_id == request_id
+        ]
+
+    async def listed(self, vm_id: str) -> list[str]:
+        """Return the ids of the entry VMs that a VM lists."""
+        url = f'{self._fleet.vms[vm_id].url}/v1/entry-vms'
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as answer,
+        ):
+            document = await answer.json()
+        return [vm['vm_id'] for vm in document['vms']]
+
+    def _caller(self, key: str, vm_id: str) -> Caller:
+        vm = self._fleet.vms[vm_id]
+        entries = FixedEntry((vm.url,), vm.plan.region, self._seed)
+        return Caller(key, entries, self._fleet.files.context, self._seed)
+
+
+class FixedEntry(EntryVms):
+    """Name one VM, whatever the list of entry VMs says."""
+
+    async def choose(self, session: aiohttp.ClientSession) -> str:
+        """Return the URL of the VM."""
+        return self.seed_urls[0]
--- a/packages/testkit/src/baobabwharf_testkit/soak.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak.py
@@ -110,7 +110,7 @@
             self._violations.append('An endpoint saw a key of a caller.')
         print(
             f'{evidence.runs.total()} bookings ran; '
-            f'{evidence.requests_seen} requests were searched for keys.'
+            f'{len(evidence.seen)} requests were searched for keys.'
         )
 
     def abandon(self) -> None:
