--- a/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
@@ -15,7 +15,6 @@
 )
 from baobabwharf_core.refusals import RefusalCode
 from baobabwharf_core.requests import EndpointChoice
-from expression import Error, Ok, Result
 from yarl import URL
 
 from baobabwharf_daemon.gateway.calls import Call
@@ -72,32 +71,29 @@
 
     async def send(
         self, call: Call, attempt: Attempt
-    ) -> Result[aiohttp.ClientResponse, SendFault]:
+    ) -> aiohttp.ClientResponse | SendFault:
         """Send a call and wait for the headers of the answer."""
         assert self._session is not None
         extra: dict[str, Any] = {}
         if not call.facts.repeatable:
             extra['middlewares'] = (_send_once,)
         try:
-            response = await self._session.request(
-                call.method,
-                _target(attempt.choice.url, call),
-                data=call.body or None,
-                headers=_headers(call, attempt),
-                allow_redirects=False,
-                timeout=aiohttp.ClientTimeout(
-                    sock_connect=CONNECT_TIMEOUT_S,
-                    sock_read=max(1, attempt.time_left_ms) / _MS_PER_S,
-                ),
-                **extra,
-            )
+            # The watchdog of the relay bounds the time after the headers.
+            async with asyncio.timeout(attempt.time_left_ms / _MS_PER_S):
+                return await self._session.request(
+                    call.method,
+                    _target(attempt.choice.url, call),
+                    data=call.body or None,
+                    headers=_headers(call, attempt),
+                    allow_redirects=False,
+                    **extra,
+                )
         except _NOT_SENT as fault:
             return _fault(False, RefusalCode.ENDPOINT_FAILED, fault)
         except TimeoutError as fault:
             return _fault(True, RefusalCode.ENDPOINT_TIMEOUT, fault)
         except (aiohttp.ClientError, OSError) as fault:
             return _fault(True, RefusalCode.ENDPOINT_FAILED, fault)
-        return Ok(response)
 
     def cancel(self, attempt: Attempt) -> None:
         """Tell an engine in the background to stop working on a call."""
@@ -133,6 +129,7 @@
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
         skip_auto_headers=_SKIPPED,
         read_bufsize=_READ_BUFFER_BYTES,
     )
@@ -169,7 +166,5 @@
     return headers
 
 
-def _fault(
-    sent: bool, code: RefusalCode, fault: BaseException
-) -> Result[aiohttp.ClientResponse, SendFault]:
-    return Error(SendFault(sent, code, type(fault).__name__))
+def _fault(sent: bool, code: RefusalCode, fault: BaseException) -> SendFault:
+    return SendFault(sent, code, type(fault).__name__)
