Cut the cost of large prompts and of counters

Cause: cProfile with 64 KB prompts showed 173 us for the search of JSON escapes, 30 us for one aioprometheus counter and 312 us for prefix hashes.

--- a/packages/daemon/src/baobabwharf_daemon/gateway/body.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/body.py
@@ -1,6 +1,7 @@
 """Read request bodies within bounds of time and memory."""
 
 import asyncio
+from typing import Any
 
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from sanic import Request
@@ -30,7 +31,7 @@
             )
         self._held += announced
         try:
-            return await self._receive(request)
+            return await self._receive(request, announced)
         finally:
             self._held -= announced
 
@@ -42,10 +43,11 @@
         """Count a body that is not kept any more."""
         self._held -= size
 
-    async def _receive(self, request: Request) -> bytes | Refusal:
+    async def _receive(
+        self, request: Request, announced: int
+    ) -> bytes | Refusal:
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                await request.receive_body()
+            await _receive_in_time(request, announced)
         except TimeoutError:
             return _invalid('The body was not sent in time.')
         except PayloadTooLarge:
@@ -55,6 +57,15 @@
         return request.body
 
 
+async def _receive_in_time(request: Request, announced: int) -> None:
+    stream: Any = request.stream
+    if announced and len(stream.recv_buffer) >= announced:
+        await request.receive_body()
+        return
+    async with asyncio.timeout(BODY_TIMEOUT_S):
+        await request.receive_body()
+
+
 def _announced(request: Request) -> int:
     length = request.headers.get('content-length', '')
     return int(length) if length.isdecimal() else 0
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -10,6 +10,7 @@
 from baobabwharf_daemon.gateway.bookings import Bookings
 from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
 from baobabwharf_daemon.gateway.completions import CompletionCalls
+from baobabwharf_daemon.gateway.counts import metrics_page
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.exchange import Exchange, refuse
 from baobabwharf_daemon.gateway.facts import RequestIds, RouteIndex
@@ -28,7 +29,6 @@
     MembershipView,
     ModelCatalog,
 )
-from baobabwharf_daemon.metrics import render_metrics
 from baobabwharf_daemon.settings import Settings
 
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
@@ -227,7 +227,7 @@
         )
 
     async def _metrics(self, request: Request) -> HTTPResponse:
-        page, headers = render_metrics(request.headers.get('accept', ''))
+        page, headers = metrics_page(request.headers.get('accept', ''))
         return HTTPResponse(
             page,
             content_type=headers.get('Content-Type', 'text/plain'),
--- a/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
@@ -45,10 +45,9 @@
         self, request: Request, path: str, body: bytes, caller: Caller
     ) -> Call | Refusal:
         """Return the call of a valid request."""
-        checked = parse_body(path, scrub_json(body, caller.key))
-        if checked.is_error():
-            return checked.error
-        parsed = checked.ok
+        parsed = parse_body(path, scrub_json(body, caller.key))
+        if isinstance(parsed, Refusal):
+            return parsed
         facts = self._facts(request, path, parsed, caller)
         if isinstance(facts, Refusal):
             return facts
--- a/packages/daemon/src/baobabwharf_daemon/gateway/exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/exchange.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from baobabwharf_daemon.gateway.calls import Call, Sink
+from baobabwharf_daemon.gateway.counts import count_request
 from baobabwharf_daemon.gateway.errors import (
     count_refusal,
     error_body,
@@ -16,7 +17,6 @@
 from baobabwharf_daemon.gateway.records import RequestRecord
 from baobabwharf_daemon.gateway.running import Running, RunningRequests
 from baobabwharf_daemon.gateway.tasks import this_task
-from baobabwharf_daemon.metrics import REQUESTS
 
 Work = Callable[[], Awaitable[Result[None, Refusal]]]
 # A caller that does not take the last event is cut off without it.
@@ -66,7 +66,7 @@
                 record.end('caller_gone')
                 record.end('refuse')
             if running.cut is None:
-                REQUESTS.inc(_labels(call, 'caller_gone'))
+                _count(call, 'caller_gone')
                 raise
             task.uncancel()
             await _cut(running.cut, sink, call, record)
@@ -79,12 +79,12 @@
         outcome = await work()
         if outcome.is_ok():
             record.end('answered')
-            REQUESTS.inc(_labels(call, 'answered'))
+            _count(call, 'answered')
             return
         refusal = outcome.error
         record.note(f'Refused: {refusal.code.value}. {refusal.detail}')
         record.end('fail' if sink.began else 'refuse')
-        REQUESTS.inc(_labels(call, 'failed' if sink.began else 'refused'))
+        _count(call, 'failed' if sink.began else 'refused')
         await refuse(
             refusal,
             sink,
@@ -112,6 +112,5 @@
     sink.close_after_answer()
 
 
-def _labels(call: Call, outcome: str) -> dict[str, str]:
-    kind = 'completion' if call.completion else 'service'
-    return {'kind': kind, 'outcome': outcome}
+def _count(call: Call, outcome: str) -> None:
+    count_request('completion' if call.completion else 'service', outcome)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
@@ -10,7 +10,6 @@
 import msgspec
 from baobabwharf_core.ids import ModelId
 from baobabwharf_core.refusals import Refusal, RefusalCode
-from expression import Error, Ok, Result
 
 CHAT_PATH = '/v1/chat/completions'
 COMPLETIONS_PATH = '/v1/completions'
@@ -85,7 +84,7 @@
     return max(1, -(-len(body) // BYTES_PER_TOKEN))
 
 
-def parse_body(path: str, body: bytes) -> Result[ParsedBody, Refusal]:
+def parse_body(path: str, body: bytes) -> ParsedBody | Refusal:
     """Check a request body; any bytes give a value, never an exception."""
     try:
         if path == CHAT_PATH:
@@ -97,7 +96,7 @@
         return _invalid('The JSON is nested too deeply.')
 
 
-def _check_chat(body: bytes) -> Result[ParsedBody, Refusal]:
+def _check_chat(body: bytes) -> ParsedBody | Refusal:
     parsed = _chat_decoder.decode(body)
     if not parsed.messages:
         return _invalid('messages must not be empty.')
@@ -114,7 +113,7 @@
     )
 
 
-def _check_completion(body: bytes) -> Result[ParsedBody, Refusal]:
+def _check_completion(body: bytes) -> ParsedBody | Refusal:
     parsed = _completion_decoder.decode(body)
     if not parsed.prompt:
         return _invalid('prompt must not be empty.')
@@ -144,7 +143,7 @@
     asked: list[int],
     default: int,
     prompts: int = 1,
-) -> Result[ParsedBody, Refusal]:
+) -> ParsedBody | Refusal:
     choices = 1 if parsed.n is None else parsed.n
     bound = max(asked, default=default)
     if not parsed.model:
@@ -155,16 +154,14 @@
         return _invalid(
             f'max_tokens must be between 1 and {MAX_OUTPUT_TOKENS}.'
         )
-    return Ok(
-        ParsedBody(
-            model=ModelId(parsed.model),
-            prompt=prompt,
-            prompt_tokens=max(1, prompt_tokens),
-            max_output_tokens=bound * choices * prompts,
-            choices=choices * prompts,
-            streaming=bool(parsed.stream),
-            body=body if asked else _state_bound(body, default),
-        )
+    return ParsedBody(
+        model=ModelId(parsed.model),
+        prompt=prompt,
+        prompt_tokens=max(1, prompt_tokens),
+        max_output_tokens=bound * choices * prompts,
+        choices=choices * prompts,
+        streaming=bool(parsed.stream),
+        body=body if asked else _state_bound(body, default),
     )
 
 
@@ -210,5 +207,5 @@
     return f'{fault}.'
 
 
-def _invalid(detail: str) -> Result[ParsedBody, Refusal]:
-    return Error(Refusal(RefusalCode.INVALID_REQUEST, detail=detail))
+def _invalid(detail: str) -> Refusal:
+    return Refusal(RefusalCode.INVALID_REQUEST, detail=detail)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/scrub.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/scrub.py
@@ -1,10 +1,13 @@
 """Remove a caller's key from everything that leaves this VM."""
 
+import re
+
 import msgspec
 
 _REPLACEMENT = b'REDACTED'
-# JSON escapes that can hide a character of a key.
-_ESCAPES = (b'\x5cu', b'\x5c/')
+_BACKSLASH = b'\x5c'
+# JSON escapes that can hide a printable ASCII character of a key.
+_ESCAPE = re.compile(rb'\\(?:u00[2-7]|/)')
 _HOP_HEADERS = frozenset(
     (
         'authorization',
@@ -40,7 +43,10 @@
 def scrub_json(body: bytes, key: bytes) -> bytes:
     """Replace the key in a JSON body, also where it is escaped."""
     body = scrub_bytes(body, key)
-    if not key or not any(mark in body for mark in _ESCAPES):
+    # The search for one byte is far faster than any other one.
+    if not key or _BACKSLASH not in body:
+        return body
+    if key.isascii() and not _ESCAPE.search(body):
         return body
     try:
         plain = msgspec.json.encode(msgspec.json.decode(body))
