--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/evidence.py
@@ -0,0 +1,64 @@
+"""Check what the endpoints recorded against what must never happen."""
+
+from collections import Counter
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from baobabwharf_testkit.endpoint_control import RUNS_PATH, SEEN_PATH
+from baobabwharf_testkit.endpoint_model import RecordsPage
+from baobabwharf_testkit.fleet import Fleet
+
+_TIMEOUT_S = 10.0
+
+
+class Evidence(msgspec.Struct):
+    """Count bookings by their body and requests that showed a key."""
+
+    runs: Counter[str]
+    requests_seen: int = 0
+    requests_with_key: int = 0
+    requests_not_kept: int = 0
+
+    @property
+    def repeated(self) -> tuple[str, ...]:
+        """Return the digests of bookings that ran more than once."""
+        return tuple(name for name, count in self.runs.items() if count > 1)
+
+    def add(self, page: RecordsPage, secrets: list[str]) -> None:
+        """Count the records of one endpoint."""
+        self.runs.update(run.body_digest for run in page.runs)
+        self.requests_not_kept += page.dropped
+        for request in page.seen:
+            self.requests_seen += 1
+            text = str(request)
+            shown = any(secret in text for secret in secrets)
+            self.requests_with_key += shown
+
+
+async def collect_evidence(fleet: Fleet, secrets: list[str]) -> Evidence:
+    """Ask all endpoints that still run."""
+    evidence = Evidence(Counter())
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        for unit in fleet.endpoints.values():
+            if unit.process.running:
+                for path in (RUNS_PATH, SEEN_PATH):
+                    page = await _read(session, unit.url + path)
+                    evidence.add(page, secrets)
+    return evidence
+
+
+def read_left_records(folder: Path, secrets: list[str]) -> Evidence:
+    """Read what stopped endpoints left in their folder."""
+    evidence = Evidence(Counter())
+    for path in sorted(folder.glob('*.json')):
+        page = msgspec.json.decode(path.read_bytes(), type=RecordsPage)
+        evidence.add(page, secrets)
+    return evidence
+
+
+async def _read(session: aiohttp.ClientSession, url: str) -> RecordsPage:
+    async with session.get(url) as answer:
+        return msgspec.json.decode(await answer.read(), type=RecordsPage)
