--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/composer.py
@@ -0,0 +1,81 @@
+"""Write the messages of one VM."""
+
+from typing import final
+
+from baobabwharf_core.ids import VmId
+
+from baobabwharf_decisions.membership.identity import Identity
+from baobabwharf_decisions.membership.items import ItemStore
+from baobabwharf_decisions.membership.messages import (
+    Exchange,
+    ExchangeReply,
+    Piggyback,
+)
+from baobabwharf_decisions.membership.piggyback import PiggybackQueue, pack
+from baobabwharf_decisions.membership.probes import Probe, ProbeBook
+from baobabwharf_decisions.membership.table import (
+    ALIVE,
+    DEAD,
+    JOINING,
+    LEFT,
+    SUSPECT,
+    Member,
+    MemberTable,
+)
+
+
+@final
+class Composer:
+    """Fill probes and replies with what the receiver should know."""
+
+    def __init__(
+        self,
+        own: Identity,
+        table: MemberTable,
+        queue: PiggybackQueue,
+        items: ItemStore,
+        book: ProbeBook,
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._queue = queue
+        self._items = items
+        self._book = book
+
+    def probe(
+        self, member: Member, target: VmId | None, timeout_ms: int
+    ) -> Probe:
+        """Return a probe of the member, or through it of the target."""
+        assert member.record is not None
+        record = self._own.record
+        join = member.state == JOINING
+        load = self._load(member.vm_id)
+        if join:
+            load = pack([self._own.update()])
+        message = Exchange(record.vm_id, record.incarnation, load, target, join)
+        return Probe(
+            self._book.next_id(),
+            member.vm_id,
+            member.record.peer_address,
+            message,
+            timeout_ms,
+        )
+
+    def reply(self, request: Exchange, reached: bool) -> ExchangeReply:
+        """Return the reply; a VM that joins is told everything."""
+        record = self._own.record
+        load = self._load(request.sender)
+        if request.join:
+            load = self._everything()
+        return ExchangeReply(record.vm_id, record.incarnation, reached, load)
+
+    def _everything(self) -> Piggyback:
+        known = self._table.in_states(ALIVE, SUSPECT, DEAD, LEFT)
+        updates = [member.update() for member in known]
+        return pack([*updates, self._own.update(), *self._items.all_items()])
+
+    def _load(self, to: VmId) -> Piggyback:
+        # A VM that is doubted must learn of it in order to refute it.
+        member = self._table.get(to)
+        told = member is not None and member.state in {SUSPECT, DEAD, LEFT}
+        return self._queue.take(member.update() if member and told else None)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/core.py
@@ -0,0 +1,227 @@
+"""Decide whom to probe and take the answers."""
+
+import random
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import VmId
+from baobabwharf_core.model import VmRecord
+
+from baobabwharf_decisions.membership.beliefs import Beliefs
+from baobabwharf_decisions.membership.composer import Composer
+from baobabwharf_decisions.membership.freeze import FreezeDetector
+from baobabwharf_decisions.membership.identity import Identity
+from baobabwharf_decisions.membership.items import ItemStore
+from baobabwharf_decisions.membership.messages import (
+    Exchange,
+    ExchangeReply,
+    MemberUpdate,
+    Summary,
+)
+from baobabwharf_decisions.membership.piggyback import PiggybackQueue
+from baobabwharf_decisions.membership.probes import Probe, ProbeBook
+from baobabwharf_decisions.membership.schedule import ProbeSchedule
+from baobabwharf_decisions.membership.table import (
+    ALIVE,
+    DEAD,
+    LEFT,
+    SUSPECT,
+    Member,
+    MemberTable,
+)
+
+PROBE_TIMEOUT_MS = 250  # above the round trip between the farthest regions
+INDIRECT_TIMEOUT_MS = 400
+_HELPERS = 3
+_LEAVE_FAN_OUT = 16
+
+
+class Callbacks(msgspec.Struct, frozen=True):
+    """Name who hears of tombstones, summaries and changed members."""
+
+    tombstone: Callable[[bytes], None]
+    summary: Callable[[Summary], None]
+    members_changed: Callable[[], None]
+
+
+@final
+class MembershipCore:
+    """Follow the members of the fleet as one VM sees them."""
+
+    def __init__(
+        self,
+        record: VmRecord,
+        seeds: tuple[VmRecord, ...],
+        callbacks: Callbacks,
+        rng: random.Random,
+        detector: FreezeDetector,
+    ) -> None:
+        self._own = Identity(record)
+        self._callbacks = callbacks
+        self._rng = rng
+        self._detector = detector
+        self._table = MemberTable()
+        self._queue = PiggybackQueue()
+        self.items = ItemStore(
+            self._queue, callbacks.tombstone, callbacks.summary, self._table
+        )
+        self._beliefs = Beliefs(self._table, self._spread, self._note_change)
+        self._schedule = ProbeSchedule(rng)
+        self._book = ProbeBook()
+        self.composer = Composer(
+            self._own, self._table, self._queue, self.items, self._book
+        )
+        # True from a freeze until another VM has answered.
+        self.stale = False
+        self._spread(self._own.update())
+        self.learn_records(seeds)
+
+    @property
+    def own(self) -> Identity:
+        """Return what this VM says about itself."""
+        return self._own
+
+    def live(self) -> tuple[VmRecord, ...]:
+        """Return the VMs that are alive or only suspected, this one first."""
+        own = () if self._own.leaving else (self._own.record,)
+        others = (
+            member.record
+            for member in self._table.in_states(ALIVE, SUSPECT)
+            if member.record is not None
+        )
+        return (*own, *others)
+
+    def state_of(self, vm_id: VmId) -> str | None:
+        """Return the chart state of another VM."""
+        member = self._table.get(vm_id)
+        return None if member is None else member.state
+
+    def learn_records(self, records: tuple[VmRecord, ...]) -> None:
+        """Add registered VMs, which are joining until they are heard."""
+        for record in records:
+            if record.vm_id != self._own.record.vm_id:
+                self._table.ensure(record.vm_id, record)
+
+    def forget_removed(self, registered: frozenset[VmId]) -> None:
+        """Drop dead members that are registered no more."""
+        for member in self._table.in_states(DEAD, LEFT):
+            if member.vm_id not in registered:
+                self._table.forget(member.vm_id)
+
+    def tick(self, now_ms: int, wall_ms: int) -> list[Probe]:
+        """Expire suspicions and return the probes that are due."""
+        if self._detector.observe(now_ms, wall_ms):
+            self._recover_from_freeze(now_ms)
+        self._beliefs.expire(now_ms)
+        self.items.refresh(now_ms)
+        probes: list[Probe] = []
+        for member in self._schedule.due(self._table, now_ms):
+            probes.extend(self._probe(member))
+        return probes
+
+    def absorb(
+        self, sender: VmId, message: Exchange | ExchangeReply, now_ms: int
+    ) -> None:
+        """Learn from a message that arrived."""
+        for update in message.load.updates:
+            if update.vm_id != self._own.record.vm_id:
+                self._beliefs.apply(update, now_ms)
+            elif self._own.is_wrong(update):
+                self._own.raise_above(update.incarnation)
+                self._spread(self._own.update())
+        self._beliefs.hear_from(sender, message.incarnation)
+        self.items.absorb(message.load)
+
+    def forward(self, target: VmId) -> Probe | None:
+        """Return the probe that another VM asked for."""
+        member = self._table.get(target)
+        if member is None or member.record is None:
+            return None
+        return self.composer.probe(member, None, PROBE_TIMEOUT_MS)
+
+    def answered(
+        self, probe_id: int, reply: ExchangeReply, now_ms: int
+    ) -> list[Probe]:
+        """Take the reply to a probe."""
+        self.stale = False
+        self.absorb(reply.responder, reply, now_ms)
+        pending = self._book.get(probe_id)
+        if pending is None:
+            return []
+        if not reply.reached:
+            return self.failed(probe_id, now_ms)
+        self._book.succeed(probe_id)
+        member = self._table.get(pending.target)
+        if member is not None:
+            self._beliefs.reached(member)
+        return []
+
+    def failed(self, probe_id: int, now_ms: int) -> list[Probe]:
+        """Take the failure of a probe; return probes through other VMs."""
+        pending = self._book.fail(probe_id)
+        if pending is None:
+            return []
+        member = self._table.get(pending.target)
+        if member is None or member.state not in {ALIVE, SUSPECT}:
+            return []
+        probes: list[Probe] = []
+        if pending.direct:
+            probes = self._probe_through_others(member, pending.group)
+        if not pending.group:
+            self._beliefs.suspect(member, now_ms)
+        return probes
+
+    def leave(self) -> list[Probe]:
+        """Announce that this VM stops and return messages that say so."""
+        self._own.leave()
+        self._spread(self._own.update())
+        members = self._table.in_states(ALIVE, SUSPECT)
+        self._rng.shuffle(members)
+        return [
+            self.composer.probe(member, None, PROBE_TIMEOUT_MS)
+            for member in members[:_LEAVE_FAN_OUT]
+            if member.record is not None
+        ]
+
+    def _spread(self, update: MemberUpdate) -> None:
+        self._queue.add(update, len(self._table))
+
+    def _note_change(self, member: Member, before: str) -> None:
+        if member.state == ALIVE and before != SUSPECT:
+            self.items.resend_tombstones()
+        self._callbacks.members_changed()
+
+    def _recover_from_freeze(self, now_ms: int) -> None:
+        self.stale = True
+        self._book.clear()
+        self._beliefs.doubt_suspicions(now_ms)
+        self._own.raise_above(self._own.record.incarnation)
+        self._spread(self._own.update())
+
+    def _probe(self, member: Member) -> list[Probe]:
+        probe = self.composer.probe(member, None, PROBE_TIMEOUT_MS)
+        group: list[int] = []
+        # A suspect is probed both ways at once, since time is short.
+        indirect = []
+        if member.state == SUSPECT:
+            indirect = self._probe_through_others(member, group)
+        self._book.expect(probe, member.vm_id, group, not indirect)
+        return [probe, *indirect]
+
+    def _probe_through_others(
+        self, member: Member, group: list[int]
+    ) -> list[Probe]:
+        others = [
+            other
+            for other in self._table.in_states(ALIVE)
+            if other is not member and other.record is not None
+        ]
+        helpers = self._rng.sample(others, min(_HELPERS, len(others)))
+        probes = [
+            self.composer.probe(helper, member.vm_id, INDIRECT_TIMEOUT_MS)
+            for helper in helpers
+        ]
+        for probe in probes:
+            self._book.expect(probe, member.vm_id, group, False)
+        return probes
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/items.py
@@ -0,0 +1,97 @@
+"""Keep and spread tombstones and summaries."""
+
+from collections import OrderedDict
+from collections.abc import Callable, Sized
+from typing import final
+
+from baobabwharf_core.ids import VmId
+
+from baobabwharf_decisions.membership.messages import Piggyback, Summary
+from baobabwharf_decisions.membership.piggyback import Item, PiggybackQueue
+
+# A VM that missed more withdrawals gets them with the configuration.
+_KEPT_TOMBSTONES = 256
+# Own summaries are sent again, so that a VM that missed one gets it.
+_REFRESH_MS = 5000
+
+
+@final
+class ItemStore:
+    """Hold the newest item of each subject and queue news."""
+
+    def __init__(
+        self,
+        queue: PiggybackQueue,
+        tombstone_heard: Callable[[bytes], None],
+        summary_heard: Callable[[Summary], None],
+        members: Sized,
+    ) -> None:
+        self._queue = queue
+        self._tombstone_heard = tombstone_heard
+        self._summary_heard = summary_heard
+        self._members = members
+        self._tombstones: OrderedDict[bytes, None] = OrderedDict()
+        self._summaries: dict[tuple[str, VmId], Summary] = {}
+        self._own: dict[str, Summary] = {}
+        self._refreshed_ms = 0
+
+    def publish_tombstone(self, digest: bytes) -> None:
+        """Spread the withdrawal of a key."""
+        self._add_tombstone(digest)
+
+    def publish_summary(self, summary: Summary) -> None:
+        """Spread a summary of this VM."""
+        self._own[summary.topic] = summary
+        self._summaries[(summary.topic, summary.origin)] = summary
+        self._queue.add(summary, len(self._members))
+
+    def summaries(self, topic: str) -> tuple[Summary, ...]:
+        """Return the newest summary of each origin."""
+        return tuple(
+            summary
+            for summary in self._summaries.values()
+            if summary.topic == topic
+        )
+
+    def absorb(self, load: Piggyback) -> None:
+        """Take items that are new and pass them on."""
+        for digest in load.tombstones:
+            if self._add_tombstone(digest):
+                self._tombstone_heard(digest)
+        for summary in load.summaries:
+            self._take_summary(summary)
+
+    def refresh(self, now_ms: int) -> None:
+        """Queue own summaries again from time to time."""
+        if now_ms - self._refreshed_ms < _REFRESH_MS:
+            return
+        self._refreshed_ms = now_ms
+        for summary in self._own.values():
+            self._queue.add(summary, 1)
+
+    def resend_tombstones(self) -> None:
+        """Queue the kept tombstones for a VM that came back."""
+        for digest in self._tombstones:
+            self._queue.add(digest, len(self._members))
+
+    def all_items(self) -> list[Item]:
+        """Return all kept items for a VM that joins."""
+        return [*self._tombstones, *self._summaries.values()]
+
+    def _add_tombstone(self, digest: bytes) -> bool:
+        if digest in self._tombstones:
+            return False
+        self._tombstones[digest] = None
+        if len(self._tombstones) > _KEPT_TOMBSTONES:
+            self._tombstones.popitem(last=False)
+        self._queue.add(digest, len(self._members))
+        return True
+
+    def _take_summary(self, summary: Summary) -> None:
+        key = (summary.topic, summary.origin)
+        known = self._summaries.get(key)
+        if known is not None and known.version >= summary.version:
+            return
+        self._summaries[key] = summary
+        self._queue.add(summary, len(self._members))
+        self._summary_heard(summary)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/piggyback.py
@@ -0,0 +1,84 @@
+"""Choose what rides on the next message, under a byte budget."""
+
+import math
+from collections.abc import Hashable
+from typing import final
+
+import msgspec
+from baobabwharf_core.codec import encode
+
+from baobabwharf_decisions.membership.messages import (
+    MemberUpdate,
+    Piggyback,
+    Summary,
+)
+
+# Keeps a probe within one packet of a wide-area link.
+BUDGET_BYTES = 700
+# Times log2 of the fleet: an item reaches all VMs with high probability.
+_SENDS_FACTOR = 3
+
+Item = MemberUpdate | Summary | bytes
+
+
+class _Queued(msgspec.Struct):
+    item: Item
+    sends_left: int
+    size_bytes: int
+
+
+@final
+class PiggybackQueue:
+    """Hold items until each was sent often enough."""
+
+    def __init__(self) -> None:
+        self._queued: dict[Hashable, _Queued] = {}
+
+    def __len__(self) -> int:
+        return len(self._queued)
+
+    def add(self, item: Item, fleet_size: int) -> None:
+        """Queue an item; it replaces an older one with the same subject."""
+        sends = _SENDS_FACTOR * math.ceil(math.log2(fleet_size + 2))
+        size_bytes = len(encode(item))
+        self._queued[_subject(item)] = _Queued(item, sends, size_bytes)
+
+    def take(self, first: MemberUpdate | None = None) -> Piggyback:
+        """Return the items for one message, least sent first."""
+        chosen: list[Item] = [] if first is None else [first]
+        left_bytes = BUDGET_BYTES
+        for key, queued in self._in_order():
+            if queued.size_bytes > left_bytes and chosen:
+                continue
+            left_bytes -= queued.size_bytes
+            chosen.append(queued.item)
+            queued.sends_left -= 1
+            if not queued.sends_left:
+                del self._queued[key]
+            if left_bytes <= 0:
+                break
+        return pack(chosen)
+
+    def _in_order(self) -> list[tuple[Hashable, _Queued]]:
+        if len(self._queued) < 2:
+            return list(self._queued.items())
+        return sorted(
+            self._queued.items(), key=lambda pair: -pair[1].sends_left
+        )
+
+
+def pack(chosen: list[Item]) -> Piggyback:
+    """Sort items by kind."""
+    return Piggyback(
+        tuple(item for item in chosen if isinstance(item, MemberUpdate)),
+        tuple(item for item in chosen if isinstance(item, bytes)),
+        tuple(item for item in chosen if isinstance(item, Summary)),
+    )
+
+
+def _subject(item: Item) -> Hashable:
+    if isinstance(item, MemberUpdate):
+        return ('member', item.vm_id)
+    if isinstance(item, Summary):
+        return ('summary', item.topic, item.origin)
+    return ('tombstone', item)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/schedule.py
@@ -0,0 +1,75 @@
+"""Choose the members to probe, at a fixed rate for any fleet size."""
+
+import random
+from typing import final
+
+from baobabwharf_decisions.membership.table import (
+    ALIVE,
+    DEAD,
+    JOINING,
+    SUSPECT,
+    Member,
+    MemberTable,
+)
+
+PERIOD_MS = 250
+# Every so many periods one member that is not alive is tried as well.
+_REVIVE_EVERY = 4
+# About so many VMs probe a suspect that another VM named.
+_WITNESSES = 4
+
+
+@final
+class ProbeSchedule:
+    """Go through the members in random order, suspects first."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._order: list[Member] = []
+        self._next_ms: int | None = None
+        self._periods = 0
+
+    def due(self, table: MemberTable, now_ms: int) -> list[Member]:
+        """Return the members to probe now, at most two."""
+        if self._next_ms is None:
+            self._next_ms = now_ms
+        if now_ms < self._next_ms:
+            return []
+        # After a pause the missed periods are not made up for.
+        self._next_ms = max(self._next_ms + PERIOD_MS, now_ms)
+        self._periods += 1
+        chosen = [self._choose(table), self._revive(table)]
+        return [member for member in chosen if member is not None]
+
+    def _choose(self, table: MemberTable) -> Member | None:
+        return self._choose_suspect(table) or self._next_in_order(table)
+
+    def _choose_suspect(self, table: MemberTable) -> Member | None:
+        share = _WITNESSES / max(len(table), 1)
+        suspects = [
+            member
+            for member in table.in_states(SUSPECT)
+            if member.record is not None
+            and (member.own_failures or self._rng.random() < share)
+        ]
+        return self._rng.choice(suspects) if suspects else None
+
+    def _next_in_order(self, table: MemberTable) -> Member | None:
+        if not self._order:
+            self._order = table.in_states(ALIVE, SUSPECT)
+            self._rng.shuffle(self._order)
+        while self._order:
+            member = self._order.pop()
+            if member.state == ALIVE and member.record is not None:
+                return member
+        return None
+
+    def _revive(self, table: MemberTable) -> Member | None:
+        if self._periods % _REVIVE_EVERY != 1:
+            return None
+        absent = [
+            member
+            for member in table.in_states(DEAD, JOINING)
+            if member.record is not None
+        ]
+        return self._rng.choice(absent) if absent else None
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/table.py
@@ -0,0 +1,125 @@
+"""Hold what one VM believes about all members."""
+
+from collections.abc import Iterator
+from typing import final
+
+from baobabwharf_core.ids import Incarnation, VmId
+from baobabwharf_core.model import VmRecord
+from baobabwharf_core.statechart import load_chart
+
+from baobabwharf_decisions.membership.messages import (
+    MemberStatus,
+    MemberUpdate,
+)
+
+_CHART = load_chart('vm_membership')
+ALIVE = 'alive'
+SUSPECT = 'suspect'
+DEAD = 'dead'
+LEFT = 'left'
+JOINING = 'joining'
+_STATUS = {
+    ALIVE: MemberStatus.ALIVE,
+    SUSPECT: MemberStatus.SUSPECT,
+    DEAD: MemberStatus.DEAD,
+    LEFT: MemberStatus.LEFT,
+}
+# At equal incarnation the higher rank wins.
+_RANK = {JOINING: -1, ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 3}
+_EVENTS = {
+    MemberStatus.ALIVE: ('alive_heard',),
+    MemberStatus.SUSPECT: ('probe_failed',),
+    MemberStatus.DEAD: ('probe_failed', 'suspicion_expired'),
+    MemberStatus.LEFT: ('left_heard',),
+}
+
+
+@final
+class Member:
+    """Hold the state of one other VM."""
+
+    __slots__ = (
+        'deadline_ms',
+        'incarnation',
+        'own_failures',
+        'record',
+        'state',
+        'vm_id',
+    )
+
+    def __init__(self, vm_id: VmId, record: VmRecord | None) -> None:
+        self.vm_id = vm_id
+        self.record = record
+        self.state = _CHART.initial
+        self.incarnation = Incarnation(0)
+        self.deadline_ms = 0
+        # Probes of this VM that failed since the suspicion began.
+        self.own_failures = 0
+
+    def fire(self, event: str) -> None:
+        """Take one step of the chart."""
+        self.state = _CHART.step(self.state, event)
+
+    def supersedes(self, update: MemberUpdate) -> bool:
+        """Tell whether the update says nothing newer."""
+        if update.incarnation != self.incarnation:
+            return update.incarnation < self.incarnation
+        return _RANK[update.status.value] <= _RANK[self.state]
+
+    def accept(self, update: MemberUpdate) -> None:
+        """Follow an update that is newer."""
+        self.incarnation = update.incarnation
+        self.record = update.record or self.record
+        for event in _EVENTS[update.status]:
+            if _CHART.accepts(self.state, event):
+                self.fire(event)
+
+    def update(self) -> MemberUpdate:
+        """Return what this VM tells others about the member."""
+        return MemberUpdate(
+            self.vm_id, _STATUS[self.state], self.incarnation, self.record
+        )
+
+
+@final
+class MemberTable:
+    """Index members by state."""
+
+    def __init__(self) -> None:
+        self._members: dict[VmId, Member] = {}
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(tuple(self._members.values()))
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def get(self, vm_id: VmId) -> Member | None:
+        """Return a member, if it is known."""
+        return self._members.get(vm_id)
+
+    def ensure(self, vm_id: VmId, record: VmRecord | None = None) -> Member:
+        """Return a member, new ones in the state joining."""
+        member = self._members.get(vm_id)
+        if member is None:
+            member = Member(vm_id, record)
+            self._members[vm_id] = member
+        member.record = record or member.record
+        return member
+
+    def forget(self, vm_id: VmId) -> None:
+        """Drop a member that is dead or left."""
+        member = self._members[vm_id]
+        if member.state in {DEAD, LEFT}:
+            member.fire('forgotten')
+            del self._members[vm_id]
+
+    def in_states(self, *states: str) -> list[Member]:
+        """Return the members in any of the states, in order of their ids."""
+        found = [
+            member
+            for member in self._members.values()
+            if member.state in states
+        ]
+        found.sort(key=lambda member: member.vm_id)
+        return found
