Limits: add fleet-wide token buckets and the lending task

Cause: a customer's rate and burst hold over all VMs together, while its traffic may arrive at any of them. Change: pure holder, lender and borrower rules with chunks that expire first at the borrower; the lending task drives them and serves Lending.Borrow and Lending.Return; limits_parts builds peers and lending.

--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/lending.py
@@ -0,0 +1,220 @@
+"""Reserve tokens, lend them to other VMs and borrow from them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import CustomerId, VmId
+from baobabwharf_core.refusals import Refusal
+from baobabwharf_core.requests import Reservation
+from baobabwharf_decisions.limits import (
+    BorrowReply,
+    BorrowRequest,
+    Granted,
+    LimitCore,
+    Refused,
+    ReturnReply,
+    ReturnRequest,
+    SendBorrow,
+    SendReturn,
+)
+from baobabwharf_decisions.membership import Summary
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.interfaces import ConfigSource, LimitClient
+from baobabwharf_daemon.peers import Peers
+from baobabwharf_daemon.rpc import RpcClient, RpcServer
+from baobabwharf_daemon.task import Task
+
+BORROW_PATH = '/baobabwharf.Lending/Borrow'
+RETURN_PATH = '/baobabwharf.Lending/Return'
+SHARES_TOPIC = 'shares'
+_TICK_S = 0.05
+# Above the round trip between the farthest regions; a later reply would be
+# refused anyway once its chunk has expired.
+_TIMEOUT_MS = 400
+
+Outcome = Result[Reservation, Refusal]
+
+
+@final
+class _Service:
+    """Answer other VMs."""
+
+    def __init__(self, core: LimitCore, advance: Callable[[], None]) -> None:
+        self._core = core
+        self._advance = advance
+
+    def register(self, server: RpcServer) -> None:
+        server.register_unary(
+            BORROW_PATH, BorrowRequest, BorrowReply, self._lend
+        )
+        server.register_unary(
+            RETURN_PATH, ReturnRequest, ReturnReply, self._take_back
+        )
+
+    async def _lend(self, request: BorrowRequest) -> BorrowReply:
+        self._advance()
+        return self._core.lend(request)
+
+    async def _take_back(self, request: ReturnRequest) -> ReturnReply:
+        self._advance()
+        self._core.take_back(request)
+        return ReturnReply()
+
+
+@final
+class Lending(Task, LimitClient):
+    """Own the limit core; every call runs on the event loop."""
+
+    def __init__(
+        self,
+        vm_id: VmId,
+        clock: Clock,
+        client: RpcClient,
+        source: ConfigSource,
+        peers: Peers,
+    ) -> None:
+        self._clock = clock
+        self._client = client
+        self._source = source
+        self._peers = peers
+        self._core = LimitCore(
+            vm_id, clock.wall_ms(), clock.now_ms(), clock.wall_ms()
+        )
+        self._waiting: dict[int, asyncio.Future[Outcome]] = {}
+        self._running: set[asyncio.Task[Any]] = set()
+        self._published = b''
+        peers.listeners.on_summary(self._take_summary)
+
+    @property
+    def core(self) -> LimitCore:
+        """Return the limit core, for operators and tests."""
+        return self._core
+
+    def register(self, server: RpcServer) -> None:
+        """Serve Lending.Borrow and Lending.Return."""
+        _Service(self._core, self._advance).register(server)
+
+    async def start(self) -> None:
+        """Begin to follow the configuration and to prefetch."""
+        self._configure()
+        self._spawn(self._follow_config())
+        self._spawn(self._tick_forever())
+
+    async def stop(self) -> None:
+        """Give borrowed chunks back and stop."""
+        self._advance()
+        self._core.give_back_all()
+        returns = [
+            self._call(action.to, RETURN_PATH, action.request)
+            for action in self._core.drain()
+            if isinstance(action, SendReturn)
+        ]
+        await asyncio.gather(*returns)
+        running = tuple(self._running)
+        for job in running:
+            job.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    async def reserve(
+        self, customer_id: CustomerId, tokens: int, wait_ms: int
+    ) -> Outcome:
+        """Take tokens, waiting for borrowed ones up to wait_ms."""
+        self._advance()
+        ticket = self._core.request(customer_id, tokens, wait_ms)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = future
+        self._act()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._abandon(ticket, future)
+            raise
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """Return the unused part of a reservation."""
+        self._advance()
+        self._core.settle(reservation.reservation_id, used_tokens)
+        self._act()
+
+    def _abandon(self, ticket: int, future: asyncio.Future[Outcome]) -> None:
+        if self._waiting.pop(ticket, None) is not None:
+            self._core.cancel(ticket)
+        elif future.done() and not future.cancelled():
+            granted = future.result()
+            if granted.is_ok():
+                self.settle(granted.ok, 0)
+
+    def _advance(self) -> None:
+        self._core.advance(self._clock.now_ms(), self._clock.wall_ms())
+
+    def _configure(self) -> None:
+        self._advance()
+        self._core.configure(self._source.config)
+        for summary in self._peers.summaries(SHARES_TOPIC):
+            self._take_summary(summary)
+        digest = self._core.book.newest.digest
+        if digest != self._published:
+            self._published = digest
+            revision = self._source.config.revision
+            self._peers.publish_summary(SHARES_TOPIC, revision, digest)
+
+    def _take_summary(self, summary: Summary) -> None:
+        if summary.topic == SHARES_TOPIC:
+            self._advance()
+            self._core.confirm(summary.origin, summary.payload)
+
+    def _act(self) -> None:
+        for action in self._core.drain():
+            if isinstance(action, SendBorrow):
+                self._spawn(self._send_borrow(action))
+            elif isinstance(action, SendReturn):
+                self._spawn(self._call(action.to, RETURN_PATH, action.request))
+            elif isinstance(action, Granted):
+                self._answer(action.ticket, Ok(action.reservation))
+            elif isinstance(action, Refused):
+                self._answer(action.ticket, Error(action.refusal))
+
+    def _answer(self, ticket: int, outcome: Outcome) -> None:
+        future = self._waiting.pop(ticket, None)
+        if future is not None and not future.done():
+            future.set_result(outcome)
+
+    async def _send_borrow(self, action: SendBorrow) -> None:
+        reply = await self._call(action.to, BORROW_PATH, action.request)
+        self._advance()
+        if isinstance(reply, BorrowReply):
+            self._core.borrowed(reply)
+        else:
+            self._core.borrow_failed(action.request.number)
+        self._act()
+
+    async def _call(self, to: VmId, path: str, request: Any) -> Any:
+        record = self._source.config.vms.get(to)
+        if record is None:
+            return None
+        reply_type = BorrowReply if path == BORROW_PATH else ReturnReply
+        outcome: Result[Any, Any] = await self._client.call(
+            record.peer_address, path, request, reply_type, _TIMEOUT_MS
+        )
+        return outcome.ok if outcome.is_ok() else None
+
+    async def _follow_config(self) -> None:
+        changes = self._source.subscribe()
+        while True:
+            await changes.get()
+            self._configure()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._advance()
+            self._core.tick()
+            self._act()
+            await asyncio.sleep(_TICK_S)
+
+    def _spawn(self, job: Coroutine[Any, Any, Any]) -> None:
+        running = asyncio.create_task(job)
+        self._running.add(running)
+        running.add_done_callback(self._running.discard)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/limits_parts.py
@@ -0,0 +1,36 @@
+"""Build the tasks for membership and for limits."""
+
+import random
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import VmId
+
+from baobabwharf_daemon.interfaces import ConfigSource
+from baobabwharf_daemon.lending import Lending
+from baobabwharf_daemon.peers import Peers
+from baobabwharf_daemon.rpc import RpcClient, RpcServer
+from baobabwharf_daemon.settings import Settings
+
+
+class LimitsParts(msgspec.Struct, frozen=True):
+    """Hold both tasks; start peers first and stop it last."""
+
+    peers: Peers
+    lending: Lending
+
+
+def build_limits_parts(
+    settings: Settings,
+    clock: Clock,
+    rng: random.Random,
+    server: RpcServer,
+    client: RpcClient,
+    source: ConfigSource,
+) -> LimitsParts:
+    """Create both tasks and register what they serve to other VMs."""
+    peers = Peers(settings, clock, rng, client, source)
+    lending = Lending(VmId(settings.vm_id), clock, client, source, peers)
+    peers.register(server)
+    lending.register(server)
+    return LimitsParts(peers, lending)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/__init__.py
@@ -0,0 +1,30 @@
+"""Share each customer's token bucket between VMs without exceeding it."""
+
+from baobabwharf_decisions.limits.core import LimitCore
+from baobabwharf_decisions.limits.messages import (
+    Ask,
+    BorrowReply,
+    BorrowRequest,
+    Granted,
+    Refused,
+    ReturnReply,
+    ReturnRequest,
+    SendBorrow,
+    SendReturn,
+)
+from baobabwharf_decisions.limits.shares import ShareBook, ShareTable
+
+__all__ = (
+    'Ask',
+    'BorrowReply',
+    'BorrowRequest',
+    'Granted',
+    'LimitCore',
+    'Refused',
+    'ReturnReply',
+    'ReturnRequest',
+    'SendBorrow',
+    'SendReturn',
+    'ShareBook',
+    'ShareTable',
+)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/advice.py
@@ -0,0 +1,31 @@
+"""Tell how long until a request can have its tokens."""
+
+from baobabwharf_decisions.limits.bucket import HolderBucket
+from baobabwharf_decisions.limits.units import CHUNK_LIFETIME_MS
+
+# Covers the way to the holders and back, and one tick.
+_MARGIN_MS = 250
+
+
+def retry_after_ms(
+    amount: int,
+    borrowed: int,
+    bucket: HolderBucket | None,
+    expected: tuple[int, int, int],
+) -> int:
+    """Return ms until refill covers the amount if nothing else is spent.
+
+    What holders cannot cover even when full depends on VMs that do not
+    answer; it may be tried again after one chunk lifetime.
+    """
+    level, rate, cap = expected
+    own = 0 if bucket is None else bucket.level
+    if bucket is not None:
+        rate += bucket.rate
+        cap += bucket.cap
+    missing = amount - own - borrowed - level
+    if not rate or amount > cap + borrowed:
+        return CHUNK_LIFETIME_MS
+    # Own and lent clocks may be slow by the drift bound.
+    wait_ms = -(-max(missing, 0) * 102 // (rate * 100))
+    return wait_ms + _MARGIN_MS
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
@@ -0,0 +1,157 @@
+"""Keep a holder's part of a customer's token bucket."""
+
+from collections import OrderedDict
+from typing import final
+
+from baobabwharf_core.invariants import check_invariant
+
+
+@final
+class HolderBucket:
+    """Hold level, lent chunks and what may still be given back.
+
+    level + lent never exceeds the cap.  An entry is a reservation or an ended
+    chunk; what is left of it may be given back, and refill takes its place,
+    oldest entry first.  Thus level + lent + refundable stays within the cap,
+    and a late refund never makes up for time that refill already used.
+    """
+
+    __slots__ = (
+        '_anchor_ms',
+        '_cap',
+        '_chunks',
+        '_entries',
+        '_lent',
+        '_level',
+        '_rate',
+        '_refundable',
+        'share_key',
+    )
+
+    def __init__(self, rate: int, cap: int, anchor_ms: int) -> None:
+        self._rate = rate
+        self._cap = cap
+        self._anchor_ms = anchor_ms
+        self._level = 0
+        self._lent = 0
+        self._refundable = 0
+        # Chunk id to (expiry in ms, amount).
+        self._chunks: dict[int, tuple[int, int]] = {}
+        # Entry id to (amount left, amount returned so far).
+        self._entries: OrderedDict[int, tuple[int, int]] = OrderedDict()
+        self.share_key: object = None
+
+    @property
+    def level(self) -> int:
+        """Return the micro-tokens that can be taken now."""
+        return self._level
+
+    @property
+    def lent(self) -> int:
+        """Return the micro-tokens in chunks that borrowers may spend."""
+        return self._lent
+
+    @property
+    def cap(self) -> int:
+        """Return the burst of this share."""
+        return self._cap
+
+    @property
+    def rate(self) -> int:
+        """Return the refill in micro-tokens per ms."""
+        return self._rate
+
+    def set_share(self, rate: int, cap: int, now_ms: int) -> None:
+        """Follow a new share; the time before counts at the lower rate."""
+        old_rate = self._rate
+        self._rate = min(old_rate, rate)
+        self.refill(now_ms)
+        self._rate = rate
+        self._cap = cap
+        self.refill(now_ms)
+
+    def refill(self, now_ms: int) -> None:
+        """Bring the bucket to the present."""
+        self._expire(now_ms)
+        if now_ms > self._anchor_ms:
+            self._level += self._rate * (now_ms - self._anchor_ms)
+            self._anchor_ms = now_ms
+        room = max(0, self._cap - self._lent)
+        if self._level >= room:
+            self._level = room
+            # The clock shows whole ms: begin to count at the next one.
+            self._anchor_ms = max(self._anchor_ms, now_ms + 1)
+        self._forfeit()
+        self._check()
+
+    def take(self, entry_id: int, amount: int) -> None:
+        """Spend from the level."""
+        self._level -= amount
+        self._add_entry(entry_id, amount, 0)
+        self._check()
+
+    def give_back(self, entry_id: int, unused: int) -> None:
+        """Settle a reservation; refund what refill has not replaced."""
+        left, _returned = self._entries.pop(entry_id, (0, 0))
+        self._refundable -= left
+        self._level += min(unused, left)
+        self._check()
+
+    def lend(self, chunk_id: int, amount: int, expires_ms: int) -> None:
+        """Move tokens into a chunk."""
+        self._level -= amount
+        self._lent += amount
+        self._chunks[chunk_id] = (expires_ms, amount)
+        self._check()
+
+    def take_back(self, chunk_id: int, returned: int) -> None:
+        """Take all that was returned of a chunk; the borrower ends it."""
+        if chunk_id in self._chunks:
+            self._end_chunk(chunk_id)
+        entry = self._entries.get(chunk_id)
+        if entry is None:
+            return
+        left, already = entry
+        refund = min(max(0, returned - already), left)
+        self._entries[chunk_id] = (left - refund, max(already, returned))
+        self._refundable -= refund
+        self._level += refund
+        self._check()
+
+    def _expire(self, now_ms: int) -> None:
+        if not self._chunks:
+            return
+        ended = [
+            chunk_id
+            for chunk_id, (expires_ms, _amount) in self._chunks.items()
+            if expires_ms <= now_ms
+        ]
+        for chunk_id in ended:
+            self._end_chunk(chunk_id)
+
+    def _end_chunk(self, chunk_id: int) -> None:
+        _expires_ms, amount = self._chunks.pop(chunk_id)
+        self._lent -= amount
+        self._add_entry(chunk_id, amount, 0)
+
+    def _add_entry(self, entry_id: int, amount: int, returned: int) -> None:
+        self._entries[entry_id] = (amount, returned)
+        self._refundable += amount
+
+    def _forfeit(self) -> None:
+        excess = self._level + self._lent + self._refundable - self._cap
+        while excess > 0 and self._entries:
+            entry_id, (left, returned) = self._entries.popitem(last=False)
+            lost = min(left, excess)
+            excess -= lost
+            self._refundable -= lost
+            if left > lost:
+                self._entries[entry_id] = (left - lost, returned)
+                self._entries.move_to_end(entry_id, last=False)
+
+    def _check(self) -> None:
+        check_invariant(self._level >= 0, 'A bucket level is negative.')
+        check_invariant(
+            self._level == 0 or self._level + self._lent <= self._cap,
+            'Level and lent chunks exceed the share of the burst.',
+        )
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/core.py
@@ -0,0 +1,205 @@
+"""Reserve and settle tokens on one VM."""
+
+from typing import final
+
+from baobabwharf_core.ids import CustomerId, VmId
+from baobabwharf_core.model import Customer, FleetConfig
+
+from baobabwharf_decisions.limits.account import Account, Waiter
+from baobabwharf_decisions.limits.borrower import Borrower
+from baobabwharf_decisions.limits.ledger import Ledger
+from baobabwharf_decisions.limits.lender import Lender
+from baobabwharf_decisions.limits.messages import (
+    Action,
+    BorrowReply,
+    BorrowRequest,
+    ReturnRequest,
+)
+from baobabwharf_decisions.limits.shares import ShareBook
+from baobabwharf_decisions.limits.units import MICRO
+from baobabwharf_decisions.limits.waiting import WaitingRoom
+from baobabwharf_decisions.membership.freeze import FreezeDetector
+
+# Ids of two processes of one VM differ, and fit in 63 bits.
+_NONCE_MASK = 0xFFFFFFFF
+_NONCE_SHIFT = 28
+
+
+@final
+class LimitCore:
+    """Be holder, lender and borrower for all customers on one VM.
+
+    Every method brings time forward first; the driver then drains actions.
+    """
+
+    def __init__(
+        self, vm_id: VmId, nonce: int, now_ms: int, wall_ms: int
+    ) -> None:
+        self._vm_id = vm_id
+        self._customers: dict[CustomerId, Customer] = {}
+        self._detector = FreezeDetector(now_ms, wall_ms)
+        self.book = ShareBook(vm_id)
+        self.lender = Lender(
+            self.book.share,
+            self._keep,
+            (nonce & _NONCE_MASK) << _NONCE_SHIFT,
+            now_ms,
+        )
+        self.borrower = Borrower(vm_id, nonce)
+        self._ledger = Ledger(self.lender, self.borrower)
+        self._room = WaitingRoom(
+            self.lender, self.borrower, self._ledger, self.book
+        )
+        self._accounts: dict[CustomerId, Account] = {}
+        self._now_ms = now_ms
+        self._last_ticket = 0
+
+    def advance(self, now_ms: int, wall_ms: int) -> None:
+        """Bring time forward; after a freeze, chunks count as expired."""
+        self._now_ms = now_ms
+        if self._detector.observe(now_ms, wall_ms):
+            self.borrower.forget()
+            for account in self._accounts.values():
+                account.chunks.clear()
+                account.asked = 0
+
+    def configure(self, config: FleetConfig) -> None:
+        """Follow a newer revision."""
+        self._customers = config.customers
+        self.lender.follow(config.customers)
+        self._room.follow(config.customers)
+        if self.book.apply(config.vms):
+            self.lender.shares_changed(self._now_ms)
+
+    def confirm(self, vm_id: VmId, digest: bytes) -> None:
+        """Take the news that a VM uses the table with this digest."""
+        if self.book.confirm(vm_id, digest):
+            self.lender.shares_changed(self._now_ms)
+
+    def request(
+        self, customer_id: CustomerId, tokens: int, wait_ms: int
+    ) -> int:
+        """Ask for tokens; an action with the returned ticket answers."""
+        self._last_ticket += 1
+        ticket = self._last_ticket
+        customer = self._customers.get(customer_id)
+        if customer is None or tokens > customer.burst_tokens:
+            self._room.refuse_for_good(ticket, customer)
+            return ticket
+        account = self._account(customer_id)
+        amount = tokens * MICRO
+        account.note_demand(amount, self._now_ms)
+        deadline_ms = self._now_ms + wait_ms
+        account.waiters.append(Waiter(ticket, amount, deadline_ms))
+        self._room.serve(account, self._now_ms)
+        if account.waiters:
+            self._refill_account(account)
+            self._room.refuse_late(account, self._now_ms)
+        return ticket
+
+    def settle(self, reservation_id: int, used_tokens: int) -> None:
+        """Give back what a reservation did not use."""
+        customer_id = self._ledger.customer_of(reservation_id)
+        if customer_id is None:
+            return
+        account = self._account(customer_id)
+        account.drop_expired(self._now_ms)
+        used = used_tokens * MICRO
+        self._ledger.settle(account, reservation_id, used, self._now_ms)
+        self._room.serve(account, self._now_ms)
+
+    def cancel(self, ticket: int) -> None:
+        """Drop a request whose caller does not wait any more."""
+        for account in self._accounts.values():
+            for waiter in tuple(account.waiters):
+                if waiter.ticket == ticket:
+                    account.waiters.remove(waiter)
+
+    def tick(self) -> None:
+        """Serve, refuse, prefetch and give back; call every 50 ms or so."""
+        for account in tuple(self._accounts.values()):
+            account.drop_expired(self._now_ms)
+            self._room.serve(account, self._now_ms)
+            self._room.refuse_late(account, self._now_ms)
+            self._refill_account(account)
+            surplus = account.borrowed - account.waiting
+            surplus -= 2 * account.target(self._now_ms)
+            self._give_back(account, surplus)
+            if account.is_idle(self._now_ms):
+                del self._accounts[account.customer_id]
+
+    def lend(self, request: BorrowRequest) -> BorrowReply:
+        """Answer a borrower."""
+        return self.lender.borrow(request, self._now_ms)
+
+    def take_back(self, request: ReturnRequest) -> None:
+        """Take what a borrower gives back."""
+        self.lender.take_back(request, self._now_ms)
+
+    def borrowed(self, reply: BorrowReply) -> None:
+        """Take the answer of a holder."""
+        for taken in self.borrower.take_reply(reply, self._now_ms):
+            customer_id, chunk, holder, level_left, asked = taken
+            account = self._account(customer_id)
+            account.asked = max(0, account.asked - asked)
+            account.learn_level(holder, level_left, self._now_ms)
+            if chunk is not None:
+                account.add_chunk(chunk)
+            account.drop_expired(self._now_ms)
+            self._room.serve(account, self._now_ms)
+            if account.waiters:
+                self._refill_account(account)
+
+    def borrow_failed(self, number: int) -> None:
+        """Take the failure or timeout of an ask."""
+        for ask in self.borrower.take_failure(number, self._now_ms):
+            account = self._account(ask.customer_id)
+            account.asked = max(0, account.asked - ask.amount)
+
+    def give_back_all(self) -> None:
+        """End all chunks, since this VM stops."""
+        for account in self._accounts.values():
+            account.drop_expired(self._now_ms)
+            self._give_back(account, account.borrowed)
+
+    def drain(self) -> list[Action]:
+        """Return what the driver must do."""
+        return [*self._room.drain(), *self.borrower.drain(self._now_ms)]
+
+    def _account(self, customer_id: CustomerId) -> Account:
+        account = self._accounts.get(customer_id)
+        if account is None:
+            account = Account(customer_id, self._now_ms)
+            self._accounts[customer_id] = account
+        return account
+
+    def _keep(self, customer_id: CustomerId) -> int:
+        account = self._accounts.get(customer_id)
+        if account is None:
+            return 0
+        return account.target(self._now_ms) + account.waiting
+
+    def _refill_account(self, account: Account) -> None:
+        customer = self._customers.get(account.customer_id)
+        if customer is None:
+            return
+        need = account.target(self._now_ms) + account.waiting
+        need -= self._ledger.balance(account, self._now_ms) + account.asked
+        if need > 0:
+            self.borrower.plan(
+                account, need, customer, self.book.newest, self._now_ms
+            )
+
+    def _give_back(self, account: Account, surplus: int) -> None:
+        for chunk in tuple(account.chunks):
+            # A spent chunk is ended too, so that refill may replace it.
+            if chunk.left and chunk.left > surplus:
+                continue
+            surplus -= chunk.left
+            account.chunks.remove(chunk)
+            self.borrower.give_back(
+                account.customer_id,
+                chunk.lender,
+                chunk.chunk_id,
+                chunk.left,
+            )
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shares.py
@@ -0,0 +1,148 @@
+"""Divide a customer's bucket among holder VMs."""
+
+import hashlib
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import CustomerId, RegionId, VmId
+from baobabwharf_core.model import Customer, VmRecord
+
+from baobabwharf_decisions.limits.units import (
+    MICRO,
+    MICRO_PER_MS,
+    REFILL_PERCENT,
+)
+
+_HOLDERS_PER_REGION = 3
+# Up to this many VMs all are holders.
+_SMALL_FLEET = 9
+_DIGEST_BYTES = 8
+
+
+class Share(msgspec.Struct, frozen=True):
+    """Hold refill in micro-tokens per ms and burst in micro-tokens."""
+
+    rate: int = 0
+    cap: int = 0
+
+
+@final
+class ShareTable:
+    """Choose the holders of each customer from one set of VMs."""
+
+    def __init__(self, regions: dict[VmId, RegionId]) -> None:
+        self._regions = dict(sorted(regions.items()))
+        self._chosen: dict[CustomerId, tuple[VmId, ...]] = {}
+        self._all = tuple(self._regions)
+        text = ' '.join(f'{vm}={at}' for vm, at in self._regions.items())
+        self._digest = _digest(text)
+
+    @property
+    def digest(self) -> bytes:
+        """Return what two VMs compare to know that their tables agree."""
+        return self._digest
+
+    @property
+    def vms(self) -> tuple[VmId, ...]:
+        """Return all VMs of the table."""
+        return self._all
+
+    def region_of(self, vm_id: VmId) -> RegionId | None:
+        """Return the region of a VM of this table."""
+        return self._regions.get(vm_id)
+
+    def holders(self, customer_id: CustomerId) -> tuple[VmId, ...]:
+        """Return the holders of a customer's bucket."""
+        if len(self._all) <= _SMALL_FLEET:
+            return self._all
+        chosen = self._chosen.get(customer_id)
+        if chosen is None:
+            chosen = self._choose(customer_id)
+            self._chosen[customer_id] = chosen
+        return chosen
+
+    def share(self, vm_id: VmId, customer: Customer) -> Share:
+        """Return the part of a VM; all parts add up to at most the whole."""
+        holders = self.holders(customer.customer_id)
+        if vm_id not in holders:
+            return Share()
+        index = holders.index(vm_id)
+        rate = customer.rate_tokens_per_s * MICRO_PER_MS
+        return Share(
+            _part(rate * REFILL_PERCENT // 100, index, len(holders)),
+            _part(customer.burst_tokens * MICRO, index, len(holders)),
+        )
+
+    def _choose(self, customer_id: CustomerId) -> tuple[VmId, ...]:
+        chosen: list[VmId] = []
+        for region in sorted(set(self._regions.values())):
+            ranked = sorted(
+                (_digest(f'{customer_id} {vm_id}'), vm_id)
+                for vm_id, place in self._regions.items()
+                if place == region
+            )
+            best = ranked[:_HOLDERS_PER_REGION]
+            chosen.extend(holder for _score, holder in best)
+        return tuple(chosen)
+
+
+@final
+class ShareBook:
+    """Use the minimum of old and new shares until all VMs have confirmed.
+
+    A process that starts does not know which table the others use, so its
+    share is zero until all VMs are known to use its table.
+    """
+
+    def __init__(self, vm_id: VmId) -> None:
+        self._vm_id = vm_id
+        self._tables = [ShareTable({})]
+        self._confirmed: dict[VmId, bytes] = {}
+
+    @property
+    def newest(self) -> ShareTable:
+        """Return the newest table."""
+        return self._tables[-1]
+
+    @property
+    def pending(self) -> bool:
+        """Tell whether a VM has not confirmed the newest table."""
+        return len(self._tables) > 1
+
+    def apply(self, vms: dict[VmId, VmRecord]) -> bool:
+        """Follow the registered VMs; tell whether the table changed."""
+        table = ShareTable({vm.vm_id: vm.region for vm in vms.values()})
+        if table.digest == self.newest.digest:
+            return False
+        self._tables.append(table)
+        self.confirm(self._vm_id, table.digest)
+        return True
+
+    def confirm(self, vm_id: VmId, digest: bytes) -> bool:
+        """Take the confirmation of a VM; tell whether shares changed."""
+        self._confirmed[vm_id] = digest
+        newest = self.newest
+        agreed = self.pending and all(
+            self._confirmed.get(vm) == newest.digest for vm in newest.vms
+        )
+        if agreed:
+            self._tables = [newest]
+        return agreed
+
+    def share(self, customer: Customer) -> Share:
+        """Return the share that this VM may use now."""
+        shares = [table.share(self._vm_id, customer) for table in self._tables]
+        if len(shares) == 1:
+            return shares[0]
+        return Share(
+            min(share.rate for share in shares),
+            min(share.cap for share in shares),
+        )
+
+
+def _part(whole: int, index: int, count: int) -> int:
+    return whole * (index + 1) // count - whole * index // count
+
+
+def _digest(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/waiting.py
@@ -0,0 +1,96 @@
+"""Serve waiting requests in order and refuse those that wait too long."""
+
+from typing import final
+
+from baobabwharf_core.ids import CustomerId
+from baobabwharf_core.model import Customer
+from baobabwharf_core.refusals import Refusal, RefusalCode
+
+from baobabwharf_decisions.limits.account import Account, Waiter
+from baobabwharf_decisions.limits.advice import retry_after_ms
+from baobabwharf_decisions.limits.borrower import Borrower
+from baobabwharf_decisions.limits.ledger import Ledger
+from baobabwharf_decisions.limits.lender import Lender
+from baobabwharf_decisions.limits.messages import Granted, Refused
+from baobabwharf_decisions.limits.shares import ShareBook
+
+# More waiting requests of one customer are refused at once.
+_MAX_WAITERS = 256
+
+
+@final
+class WaitingRoom:
+    """Answer requests with tokens or a refusal."""
+
+    def __init__(
+        self,
+        lender: Lender,
+        borrower: Borrower,
+        ledger: Ledger,
+        book: ShareBook,
+    ) -> None:
+        self._lender = lender
+        self._borrower = borrower
+        self._ledger = ledger
+        self._book = book
+        self._customers: dict[CustomerId, Customer] = {}
+        self._answers: list[Granted | Refused] = []
+
+    def follow(self, customers: dict[CustomerId, Customer]) -> None:
+        """Use the caps of a newer revision."""
+        self._customers = customers
+
+    def serve(self, account: Account, now_ms: int) -> None:
+        """Grant requests in order while there are tokens."""
+        while account.waiters:
+            waiter = account.waiters[0]
+            reservation = self._ledger.reserve(account, waiter.amount, now_ms)
+            if reservation is None:
+                return
+            account.waiters.popleft()
+            self._answers.append(Granted(waiter.ticket, reservation))
+
+    def refuse_late(self, account: Account, now_ms: int) -> None:
+        """Refuse requests past their deadline and those above the bound."""
+        late = [
+            waiter
+            for place, waiter in enumerate(account.waiters)
+            if waiter.deadline_ms <= now_ms or place >= _MAX_WAITERS
+        ]
+        for waiter in late:
+            account.waiters.remove(waiter)
+            self._refuse(account, waiter, now_ms)
+
+    def refuse_for_good(self, ticket: int, customer: Customer | None) -> None:
+        """Refuse what no refill can cover."""
+        refusal = Refusal(
+            RefusalCode.VM_NOT_READY, detail='The customer is not known yet.'
+        )
+        if customer is not None:
+            refusal = Refusal(
+                RefusalCode.REQUEST_ABOVE_BURST,
+                detail=f'The burst is {customer.burst_tokens} tokens.',
+            )
+        self._answers.append(Refused(ticket, refusal))
+
+    def drain(self) -> list[Granted | Refused]:
+        """Return the answers since the last call."""
+        answers = self._answers
+        self._answers = []
+        return answers
+
+    def _refuse(self, account: Account, waiter: Waiter, now_ms: int) -> None:
+        customer = self._customers.get(account.customer_id)
+        if customer is None:
+            self.refuse_for_good(waiter.ticket, None)
+            return
+        wait_ms = retry_after_ms(
+            waiter.amount,
+            account.borrowed,
+            self._lender.bucket(account.customer_id, now_ms),
+            self._borrower.expected(
+                account, customer, self._book.newest, now_ms
+            ),
+        )
+        refusal = Refusal(RefusalCode.RATE_EXCEEDED, retry_after_ms=wait_ms)
+        self._answers.append(Refused(waiter.ticket, refusal))
