--- a/packages/daemon/src/baobabwharf_daemon/limits_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/limits_parts.py
@@ -1,39 +1,36 @@
-"""Build the tasks of membership and limits of one VM."""
+"""Build the tasks for membership and for limits."""
 
 import random
 
 import msgspec
 from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import VmId
 
-from baobabwharf_daemon.interfaces import ConfigSource, LimitClient
+from baobabwharf_daemon.interfaces import ConfigSource
+from baobabwharf_daemon.lending import Lending
 from baobabwharf_daemon.peers import Peers
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
 from baobabwharf_daemon.settings import Settings
-from baobabwharf_daemon.static_limits import StaticLimits
-from baobabwharf_daemon.task import Task
 
 
 class LimitsParts(msgspec.Struct, frozen=True):
-    """Hold the tasks of membership and limits."""
+    """Hold both tasks; start peers first and stop it last."""
 
     peers: Peers
-    lending: LimitClient
-
-    @property
-    def tasks(self) -> tuple[Task, ...]:
-        """Return the tasks in the order to start."""
-        return (self.peers,)
+    lending: Lending
 
 
 def build_limits_parts(
     settings: Settings,
     clock: Clock,
-    generator: random.Random,
+    rng: random.Random,
     server: RpcServer,
     client: RpcClient,
-    config: ConfigSource,
+    source: ConfigSource,
 ) -> LimitsParts:
-    """Build the tasks and register their calls at the server."""
-    peers = Peers(settings, clock, generator, client, config)
+    """Create both tasks and register what they serve to other VMs."""
+    peers = Peers(settings, clock, rng, client, source)
+    lending = Lending(VmId(settings.vm_id), clock, client, source, peers)
     peers.register(server)
-    return LimitsParts(peers, StaticLimits(clock, config))
+    lending.register(server)
+    return LimitsParts(peers, lending)
