--- a/packages/daemon/src/baobabwharf_daemon/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/app.py
@@ -75,7 +75,8 @@
         )
         order: tuple[Task, ...] = (
             *self._consensus.tasks,
-            *self._limits.tasks,
+            self._limits.peers,
+            self._limits.lending,
             self._routing,
             self._status,
             registration,
--- a/packages/daemon/src/baobabwharf_daemon/operator/routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/operator/routes.py
@@ -92,6 +92,9 @@
         return _json(outcome, STATUS_OF[outcome.code])
 
     async def _config(self, request: Request) -> HTTPResponse:
+        if not self._parts.source.ready:
+            # Revision 0 before the first snapshot is no configuration.
+            return _fault(503, 'This VM has no configuration yet.')
         return _json(self._parts.source.config)
 
     async def _status(self, request: Request) -> HTTPResponse:
--- a/packages/testkit/src/baobabwharf_testkit/small_fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -152,12 +152,15 @@
 
     async def set_faults(self, **faults: int) -> None:
         """Set the same faults on all engines."""
-        async with aiohttp.ClientSession() as session:
-            for unit in self._fleet.endpoints.values():
-                if 'models' in unit.plan.extra:
-                    url = unit.url + FAULTS_PATH
-                    async with session.post(url, json=faults) as answer:
-                        answer.raise_for_status()
+        urls = [
+            unit.url + FAULTS_PATH
+            for unit in self._fleet.endpoints.values()
+            if 'models' in unit.plan.extra
+        ]
+        async with aiohttp.ClientSession(raise_for_status=True) as session:
+            for url in urls:
+                answer = await session.post(url, json=faults)
+                answer.release()
 
     async def evidence(self) -> Evidence:
         """Return what the endpoints saw and ran."""
