Pass the address overrides to the client of other VMs

Change: app.py gives settings.address_overrides to RpcClient, so links of a fleet can run through fault proxies.

--- a/packages/daemon/src/baobabwharf_daemon/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/app.py
@@ -50,7 +50,9 @@
         self._random = random.Random()
         self._record = own_record(settings, Incarnation(self._clock.wall_ms()))
         self._server = RpcServer(secret, settings.tls)
-        self._client = RpcClient(secret, settings.tls)
+        self._client = RpcClient(
+            secret, settings.tls, settings.address_overrides
+        )
         self._events = EventLog(self._clock)
         self._version = 0
         self._consensus = self._build_consensus()
--- a/packages/testkit/src/baobabwharf_testkit/small_fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -152,12 +152,14 @@
 
     async def set_faults(self, **faults: int) -> None:
         """Set the same faults on all engines."""
-        async with aiohttp.ClientSession() as session:
-            for unit in self._fleet.endpoints.values():
-                if 'models' in unit.plan.extra:
-                    url = unit.url + FAULTS_PATH
-                    async with session.post(url, json=faults) as answer:
-                        answer.raise_for_status()
+        engines = [
+            unit
+            for unit in self._fleet.endpoints.values()
+            if 'models' in unit.plan.extra
+        ]
+        async with aiohttp.ClientSession(raise_for_status=True) as session:
+            for unit in engines:
+                await session.post(unit.url + FAULTS_PATH, json=faults)
 
     async def evidence(self) -> Evidence:
         """Return what the endpoints saw and ran."""
