--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -10,6 +10,7 @@
 from baobabwharf_daemon.gateway.bookings import Bookings
 from baobabwharf_daemon.gateway.calls import Call, Progress, Sink
 from baobabwharf_daemon.gateway.completions import CompletionCalls
+from baobabwharf_daemon.gateway.counts import metrics_page
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.exchange import Exchange, refuse
 from baobabwharf_daemon.gateway.facts import RequestIds, RouteIndex
@@ -28,7 +29,6 @@
     MembershipView,
     ModelCatalog,
 )
-from baobabwharf_daemon.metrics import render_metrics
 from baobabwharf_daemon.settings import Settings
 
 _METHODS = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'HEAD', 'OPTIONS')
@@ -155,6 +155,15 @@
         digest: bytes,
         sink: Sink,
         idempotency_key: str | None = None,
+    ) -> None:
+        self._bodies.hold(len(call.body))
+        try:
+            await self._exchange(call, digest, sink, idempotency_key)
+        finally:
+            self._bodies.release(len(call.body))
+
+    async def _exchange(
+        self, call: Call, digest: bytes, sink: Sink, key: str | None
     ) -> None:
         parts = self._parts
         record = parts.records.open(call.facts.request_id)
@@ -165,7 +174,7 @@
                 digest,
                 sink,
                 record,
-                lambda: parts.bookings.run(call, idempotency_key, sink, record),
+                lambda: parts.bookings.run(call, key, sink, record),
             )
             return
         await parts.exchange.run(
@@ -227,7 +236,7 @@
         )
 
     async def _metrics(self, request: Request) -> HTTPResponse:
-        page, headers = render_metrics(request.headers.get('accept', ''))
+        page, headers = metrics_page(request.headers.get('accept', ''))
         return HTTPResponse(
             page,
             content_type=headers.get('Content-Type', 'text/plain'),
