--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -277,6 +277,7 @@
             )
         )
 
+    context.raced_at = revision
     context.outcomes = fleet.run(race_both())
 
 
@@ -294,10 +295,17 @@
         change = _cap(context.customer_name, rate)
         again = fleet.run(
             fleet.small.change(
-                _vm(EMPTY), change, outcome.request_id, attempts=20
+                _vm(EMPTY),
+                change,
+                outcome.request_id,
+                context.raced_at,
+                attempts=20,
             )
         )
-        assert (again.code, again.revision) == (outcome.code, outcome.revision)
+        assert (again.code, again.revision) == (
+            outcome.code,
+            outcome.revision,
+        ), (again, outcome)
 
 
 @when('the first fleet region is partitioned')
@@ -310,6 +318,16 @@
     outside = set(fleet.vms()) - inside
     links = fleet.small.fleet.links
     fleet.loop.call(lambda: links.partition(inside, outside))
+    # Begun here, since a minority answers only after its timeouts.
+    change = _cap(name, 5000)
+    context.change = fleet.loop.begin(fleet.small.change(_vm(FIRST), change))
+    context.bookings = [fleet.booking() for _ in range(2)]
+    context.booked = [
+        fleet.loop.begin(fleet.small.send(context.key, vm_id, call))
+        for vm_id, call in zip(
+            (f'{FIRST}-vm1', f'{FIRST}-vm2'), context.bookings, strict=True
+        )
+    ]
 
 
 @then('callers of the first fleet region still get answers')
@@ -324,24 +342,18 @@
 
 @then('its fleet bookings are refused as not run')
 def bookings_refused(context: Context) -> None:
-    fleet = context.fleet
-    context.bookings = []
-    for vm_id in (f'{FIRST}-vm1', f'{FIRST}-vm2'):
-        call = fleet.booking()
-        judgement, _answer = fleet.run(
-            fleet.small.send(context.key, vm_id, call)
-        )
-        assert judgement.outcome is Outcome.REFUSED, (vm_id, judgement)
-        context.bookings.append(call)
+    for work in context.booked:
+        judgement, _answer = work.result(30)
+        assert judgement.outcome is Outcome.REFUSED, judgement
 
 
 @then('its fleet operators are not told that a change is accepted')
 def not_accepted(context: Context) -> None:
     fleet = context.fleet
-    change = _cap(context.customer_name, 5000)
-    outcome = fleet.run(fleet.small.change(_vm(FIRST), change))
+    outcome = context.change.result(30)
     expected = {ChangeCode.NOT_ACCEPTED, ChangeCode.UNKNOWN}
     assert outcome.code in expected, outcome
+    change = _cap(context.customer_name, 6000)
     fleet.run(fleet.small.accept(_vm(SECOND), change))
 
 
