--- a/packages/decisions/src/baobabwharf_decisions/membership/schedule.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/schedule.py
@@ -12,7 +12,7 @@
     MemberTable,
 )
 
-PERIOD_MS = 200
+PERIOD_MS = 250
 # Every so many periods one member that is not alive is tried as well.
 _REVIVE_EVERY = 4
 # About so many VMs probe a suspect that another VM named.
