--- a/packages/testkit/src/baobabwharf_testkit/small_fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -152,15 +152,14 @@
 
     async def set_faults(self, **faults: int) -> None:
         """Set the same faults on all engines."""
-        urls = [
-            unit.url + FAULTS_PATH
+        engines = [
+            unit
             for unit in self._fleet.endpoints.values()
             if 'models' in unit.plan.extra
         ]
         async with aiohttp.ClientSession(raise_for_status=True) as session:
-            for url in urls:
-                answer = await session.post(url, json=faults)
-                answer.release()
+            for unit in engines:
+                await session.post(unit.url + FAULTS_PATH, json=faults)
 
     async def evidence(self) -> Evidence:
         """Return what the endpoints saw and ran."""
