--- a/packages/daemon/src/baobabwharf_daemon/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/app.py
@@ -20,7 +20,6 @@
 from baobabwharf_daemon.gateway_parts import (
     Gateway,
     GatewayInputs,
-    RegistryCatalog,
     build_gateway,
 )
 from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
@@ -187,7 +186,7 @@
                 membership=self._limits.peers,
                 router=self._routing.router,
                 registry=self._routing.registry,
-                catalog=RegistryCatalog(self._routing.registry),
+                catalog=self._routing,
                 status=self._status,
                 tombstone=lambda digest: parts.follower.accept_withdrawals(
                     (digest,)
--- a/packages/decisions/src/baobabwharf_decisions/endpoints.py
+++ b/packages/decisions/src/baobabwharf_decisions/endpoints.py
@@ -27,27 +27,35 @@
 # slot arrives late and the slot would stay empty until then.
 _QUEUE_SHARE = 8
 _MIN_RAMP = 0.1
+# What one VM sent says little about many others.
+_MAX_VMS = 3
 _EJECT_AFTER_FAILURES = 5
 _EJECT_MS = 2000
 _MAX_EJECT_MS = 60_000
 
 
 class LoadEstimate:
-    """Correct a late load report by what this VM sent and saw end since."""
+    """Correct a late load report by what was sent and ended since.
 
-    __slots__ = ('_changes', '_own', '_report_ms', '_reported', '_since')
+    This VM knows its own part of that; the other VMs of the region, counted
+    by vms, probably did about as much.
+    """
+
+    __slots__ = ('_changes', '_own', '_report_ms', '_reported', '_since', 'vms')
 
     def __init__(self) -> None:
         self._reported = 0
         self._report_ms = -1
         self._own = 0
         self._since = 0
+        self.vms = 1
         self._changes: deque[tuple[int, int]] = deque()
 
     @property
     def requests(self) -> int:
         """Return the requests that the endpoint probably holds now."""
-        return max(self._own, self._reported + self._since)
+        since = self._since * min(self.vms, _MAX_VMS)
+        return max(self._own, self._reported + since)
 
     @property
     def own(self) -> int:
@@ -102,10 +110,11 @@
 
 
 class Expectation(msgspec.Struct, frozen=True):
-    """Hold expected times in ms from now."""
+    """Hold expected times in ms from now, and the length of the prefill."""
 
     first_token_ms: float
     complete_ms: float
+    prefill_ms: float = 0.0
 
 
 class Health(msgspec.Struct):
@@ -133,6 +142,8 @@
     rank: tuple[float, float, EndpointId] | None = None
     # Requests counted in the sums of the groups.
     counted: int = 0
+    # When the prompts that this VM sent are probably prefilled.
+    prefill_until_ms: float = 0.0
 
     @property
     def endpoint_id(self) -> EndpointId:
@@ -189,7 +200,9 @@
             return slots - self.load.requests
         return slots + slots // _QUEUE_SHARE - self.load.requests
 
-    def expect(self, facts: RequestFacts, cached_share: float) -> Expectation:
+    def expect(
+        self, facts: RequestFacts, cached_share: float, now_ms: int
+    ) -> Expectation:
         """Return the expected times of a request sent now."""
         slots = self.announcement.slots
         excess = self.load.requests + 1 - slots
@@ -200,10 +213,18 @@
             complete_ms = first_ms + self.speed.service_ms
             return Expectation(complete_ms, complete_ms)
         prompt = facts.prompt_tokens * (1 - cached_share)
-        first_ms += prompt * self.speed.prefill_token_ms
+        prefill_ms = prompt * self.speed.prefill_token_ms
+        # Engines prefill one prompt after the other.
+        first_ms = max(first_ms, self.prefill_until_ms - now_ms) + prefill_ms
         output = min(facts.max_output_tokens, self.speed.output_tokens)
         tail_ms = output * self.speed.decode_token_ms
-        return Expectation(first_ms, first_ms + tail_ms)
+        return Expectation(first_ms, first_ms + tail_ms, prefill_ms)
+
+    def sent(self, prefill_ms: float, now_ms: int) -> None:
+        """Count a request that this VM sends."""
+        self.load.sent(now_ms)
+        begin_ms = max(self.prefill_until_ms, now_ms)
+        self.prefill_until_ms = begin_ms + prefill_ms
 
     def rank_now(self) -> tuple[float, float, EndpointId]:
         """Return the place of the endpoint among those with room."""
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -26,7 +26,7 @@
 _ORIGIN_MS = 2000
 # Part of another region's reported room that all VMs elsewhere may fill
 # together before its next report; above it they would all fill it twice.
-_ROOM_SHARE = 0.5
+_ROOM_SHARE = 0.8
 # Work stays at home while it is expected within this part of the target.
 _STAY_SHARE = 0.1
 # Another region must be faster by this part of the expected time at home.
@@ -104,6 +104,15 @@
         """Return the regions that have sent a summary."""
         return tuple(self._reports)
 
+    def models_elsewhere(self) -> dict[ModelId, ServiceId]:
+        """Return the service of each model in the summaries."""
+        return {
+            model: service
+            for report in self._reports.values()
+            for service, model in report.groups
+            if model is not None
+        }
+
     def on_summary(
         self, summary: RegionSummary, now_ms: int, age_ms: int = 0
     ) -> bool:
