Consensus: add features of state machine, follow decisions and processes

Cause: the replicated state and its distribution must hold in real processes through kills, a lost, damaged or full disk and a minority. Change: a program that runs only the replicated state of a VM, and features.

--- /dev/null
+++ b/features/unit/follow.feature
@@ -0,0 +1,28 @@
+Feature: Where a VM takes configuration from
+  Guards against VMs that all ask another region, against older configuration
+  that replaces newer, and against withdrawn keys that work again.
+
+  Scenario Outline: Upstream of VM <own>
+    Given the live VMs a1(disk) a2 a3 b1(disk) c2 c3 and of them <down> down
+    Then VM "<own>" follows "<upstream>"
+
+    Examples:
+      | own | down     | upstream |
+      | a3  | -        | a1       |
+      | a3  | a1       | a2       |
+      | a2  | a1       | b1       |
+      | c2  | -        | a1       |
+      | c3  | -        | c2       |
+      | c3  | c2       | a1       |
+      | c3  | c2,a1    | b1       |
+      | c3  | c2,a1,b1 | a2       |
+
+  Scenario: An older configuration is refused
+    Given a followed copy with revisions up to 9
+    Then the followed copy refuses every older revision
+    And the followed copy takes a delta for the next revision only
+
+  Scenario: A tombstone outlives every state
+    Given a followed copy with revisions up to 3
+    When the followed copy learns that key "gone" is withdrawn
+    Then a state in which key "gone" works does not undo the withdrawal
--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -5,6 +5,7 @@
 from typing import final
 
 from baobabwharf_core.clock import Clock
+from baobabwharf_decisions.consensus.messages import CoreStatus
 
 from baobabwharf_daemon.formation import Formation
 from baobabwharf_daemon.leader_duties import LeaderDuties
@@ -65,9 +66,9 @@
         self._loops: list[asyncio.Task[None]] = []
 
     @property
-    def calls(self) -> ReplicaCalls:
-        """Return the way to submit operations on this VM."""
-        return self._calls
+    def core_status(self) -> CoreStatus | None:
+        """Return the status of the core, None while it is stopped."""
+        return self._engine.status
 
     @property
     def role(self) -> str:
--- a/packages/daemon/src/baobabwharf_daemon/leader_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/leader_client.py
@@ -7,6 +7,7 @@
 import msgspec
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.ids import VmId
+from baobabwharf_core.model import VmRecord
 from baobabwharf_decisions.fleet_state.commands import Operation
 
 from baobabwharf_daemon.address_book import AddressBook
@@ -150,16 +151,24 @@
         return found
 
     async def _ask_all(self) -> VmId | None:
-        vms = self._book.other_disk_vms()
-        statuses = await asyncio.gather(
-            *(self._status_of(vm.peer_address) for vm in vms)
-        )
-        leading = [
-            (status.term, vm.vm_id)
-            for vm, status in zip(vms, statuses, strict=True)
-            if status is not None and status.leads
+        """Ask all disk VMs at once; a frozen one does not hold up the rest."""
+        calls = [
+            asyncio.create_task(self._leads(vm))
+            for vm in self._book.other_disk_vms()
         ]
-        return max(leading)[1] if leading else None
+        leader = None
+        for answer in asyncio.as_completed(calls):
+            leader = await answer
+            if leader is not None:
+                break
+        for call in calls:
+            call.cancel()
+        return leader
+
+    async def _leads(self, vm: VmRecord) -> VmId | None:
+        status = await self._status_of(vm.peer_address)
+        leads = status is not None and status.leads
+        return vm.vm_id if leads else None
 
     async def _status_of(self, address: str) -> ReplicaStatus | None:
         reply = await self._client.call(
--- a/packages/decisions/src/baobabwharf_decisions/follow.py
+++ b/packages/decisions/src/baobabwharf_decisions/follow.py
@@ -29,7 +29,7 @@
     A disk VM of the region comes first.  Without one, the live VM with the
     smallest id is the region's relay: it asks another region and the others
     of the region ask it, so traffic between regions grows with regions only.
-    Avoided VMs failed just now; a region that has no other VM asks them again.
+    Avoided VMs failed just now and count like dead ones.
     """
     known = {vm.vm_id: vm for vm in live}
     known[own.vm_id] = own
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/consensus_vm.py
@@ -0,0 +1,154 @@
+"""Run only the replicated state of a VM, steered by lines of JSON.
+
+The functional tests of the consensus tasks use it, so that they need neither
+gateway nor gossip: the VMs in the settings count as alive.
+"""
+
+import asyncio
+import json
+import random
+import resource
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, final
+
+import msgspec
+from baobabwharf_core.changes import ChangeRequest
+from baobabwharf_core.clock import SystemClock
+from baobabwharf_core.ids import CustomerId, RequestId
+from baobabwharf_daemon.consensus_parts import (
+    ConsensusParts,
+    build_consensus_parts,
+)
+from baobabwharf_daemon.interfaces import ClaimState
+from baobabwharf_daemon.log import set_up_logging
+from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
+from baobabwharf_daemon.settings import Settings, load_settings
+from baobabwharf_decisions.consensus.messages import Options
+
+Order = dict[str, Any]
+OrderHandler = Callable[[Order], Awaitable[Any]]
+
+
+@final
+class ConsensusVm:
+    """Carry out orders against the tasks of one VM."""
+
+    def __init__(self, parts: ConsensusParts) -> None:
+        self._parts = parts
+        self._orders: dict[str, OrderHandler] = {
+            'propose': self._propose,
+            'outcome': self._outcome,
+            'state': self._state,
+            'begin': self._begin,
+            'finish': self._finish,
+            'withdraw': self._withdraw,
+            'limit_files': self._limit_files,
+        }
+
+    async def answer(self, line: bytes) -> bytes:
+        """Return the answer to one order as a line of JSON."""
+        order = json.loads(line)
+        result = await self._orders[order['do']](order)
+        return msgspec.json.encode(result) + b'\n'
+
+    async def _propose(self, order: Order) -> Any:
+        request = msgspec.convert(order['request'], ChangeRequest)
+        return await self._parts.changes.propose(request)
+
+    async def _outcome(self, order: Order) -> Any:
+        return await self._parts.changes.outcome(RequestId(order['request_id']))
+
+    async def _state(self, order: Order) -> Any:
+        follower = self._parts.follower
+        digest = str(order.get('digest', '')).encode()
+        consensus = self._parts.consensus
+        status = consensus.core_status if consensus else None
+        return {
+            'ready': follower.ready,
+            'revision': follower.config.revision,
+            'age_ms': follower.age_ms,
+            'withdrawn': follower.is_withdrawn(digest),
+            'role': status.role if status else '',
+            'voters': status.membership.voters if status else (),
+            'learners': status.membership.learners if status else (),
+        }
+
+    async def _begin(self, order: Order) -> Any:
+        begun = await self._parts.claims.begin(
+            CustomerId(order['customer']),
+            order['key'],
+            str(order['body']).encode(),
+            RequestId(order['request_id']),
+        )
+        return begun.ok if begun.is_ok() else begun.error
+
+    async def _finish(self, order: Order) -> Any:
+        answer = msgspec.convert(order['answer'], ClaimState)
+        return await self._parts.claims.finish(
+            CustomerId(order['customer']),
+            order['key'],
+            RequestId(order['request_id']),
+            answer,
+        )
+
+    async def _withdraw(self, order: Order) -> Any:
+        digest = str(order['digest']).encode()
+        self._parts.follower.accept_withdrawals((digest,))
+        return True
+
+    async def _limit_files(self, order: Order) -> Any:
+        """Make the kernel refuse that files grow, as a full disk does."""
+        limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+        limit = order['bytes'] if order['bytes'] >= 0 else limits[1]
+        resource.setrlimit(resource.RLIMIT_FSIZE, (limit, limits[1]))
+        return True
+
+
+async def run_vm(settings: Settings, options: Options) -> None:
+    """Serve until the standard input ends, then stop in order."""
+    secret = read_secret(settings.fleet_secret_file)
+    server = RpcServer(secret, settings.tls)
+    client = RpcClient(secret, settings.tls)
+    generator = random.Random(settings.vm_id)
+    parts = build_consensus_parts(
+        settings, SystemClock(), generator, server, client, tuple, options
+    )
+    await server.start(settings.listen.host, settings.listen.peer_port)
+    for task in parts.tasks:
+        await task.start()
+    await _serve_orders(ConsensusVm(parts))
+    for ending in reversed(parts.tasks):
+        await ending.stop()
+    client.close()
+
+
+async def _serve_orders(vm: ConsensusVm) -> None:
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while True:
+        line = await reader.readline()
+        if not line:
+            return
+        sys.stdout.buffer.write(await vm.answer(line))
+        sys.stdout.buffer.flush()
+
+
+def main() -> int:
+    """Run a VM with the settings file and election time in ms given."""
+    loaded = load_settings(Path(sys.argv[1]))
+    if loaded.is_error():
+        sys.stderr.write('\n'.join(loaded.error))
+        return 2
+    set_up_logging(loaded.ok.log)
+    options = Options(election_ms=int(sys.argv[2]))
+    asyncio.run(run_vm(loaded.ok, options))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
