--- a/packages/daemon/src/baobabwharf_daemon/gateway/assembly.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/assembly.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import gc
+import ssl
 from collections.abc import Awaitable, Callable
 
+from sanic import Sanic
+
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.http_server import HttpServer
 from baobabwharf_daemon.task import Task
@@ -15,8 +18,14 @@
 class Listener(Task):
     """Run one HTTP listener as a task."""
 
-    def __init__(self, server: HttpServer) -> None:
-        self._server = server
+    def __init__(
+        self,
+        app: Sanic,
+        host: str,
+        port: int,
+        context: ssl.SSLContext | None,
+    ) -> None:
+        self._server = HttpServer(app, host, port, context)
 
     async def start(self) -> None:
         """Listen."""
--- a/packages/daemon/src/baobabwharf_daemon/gateway/certificates.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/certificates.py
@@ -83,3 +83,20 @@
     except OSError:
         return 0, 0
     return state.st_mtime_ns, state.st_ino
+
+
+class TlsContexts:
+    """Hold the TLS contexts; all are None without TLS."""
+
+    def __init__(self, tls: Tls | None) -> None:
+        self.caller: ssl.SSLContext | None = None
+        self.server: ssl.SSLContext | None = None
+        self.client: ssl.SSLContext | None = None
+        self.reloader: CertificateReloader | None = None
+        if tls is not None:
+            self.caller = caller_context(tls)
+            self.server = forward_server_context(tls)
+            self.client = forward_client_context(tls)
+            self.reloader = CertificateReloader(
+                tls, (self.caller, self.server, self.client)
+            )
--- a/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -1,12 +1,10 @@
 """Build the HTTP side of the daemon from its settings and the interfaces."""
 
-import ssl
 from collections.abc import Callable
 
 import msgspec
 from baobabwharf_core.clock import Clock
-from baobabwharf_core.ids import ModelId, RegionId, ServiceId, VmId
-from sanic import Sanic
+from baobabwharf_core.ids import RegionId, VmId
 
 from baobabwharf_daemon.forwarding.endpoint_client import EndpointClient
 from baobabwharf_daemon.forwarding.forwarder import Forwarder
@@ -22,18 +20,13 @@
 from baobabwharf_daemon.gateway.auth import KeyIndex
 from baobabwharf_daemon.gateway.bookings import Bookings
 from baobabwharf_daemon.gateway.caller_app import CallerParts, CallerRoutes
-from baobabwharf_daemon.gateway.certificates import (
-    CertificateReloader,
-    caller_context,
-    forward_client_context,
-    forward_server_context,
-)
+from baobabwharf_daemon.gateway.catalog import RegistryCatalog
+from baobabwharf_daemon.gateway.certificates import TlsContexts
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.exchange import Exchange
 from baobabwharf_daemon.gateway.facts import RequestIds, RouteIndex
 from baobabwharf_daemon.gateway.http_server import (
     MAX_BODY_BYTES,
-    HttpServer,
     new_app,
 )
 from baobabwharf_daemon.gateway.pipeline import Pipeline
@@ -57,6 +50,8 @@
 from baobabwharf_daemon.rpc import read_secret
 from baobabwharf_daemon.settings import Settings
 
+__all__ = ('Gateway', 'GatewayInputs', 'RegistryCatalog', 'build_gateway')
+
 
 class GatewayInputs(msgspec.Struct, frozen=True):
     """Hold what the rest of the daemon gives to the HTTP side.
@@ -79,47 +74,15 @@
     events: EventLog
 
 
-class RegistryCatalog(ModelCatalog):
-    """List the models of the endpoints that a registry describes."""
-
-    def __init__(self, registry: EndpointRegistry) -> None:
-        self._registry = registry
-
-    def models(self) -> dict[ModelId, ServiceId]:
-        """Return the service of each model of this region."""
-        return {
-            ModelId(model): ServiceId(endpoint['service'])
-            for endpoint in self._registry.describe()
-            for model in endpoint.get('models', ())
-        }
-
-
-class _Contexts:
-    """Hold the TLS contexts; all are None without TLS."""
-
-    def __init__(self, settings: Settings) -> None:
-        tls = settings.tls
-        self.caller: ssl.SSLContext | None = None
-        self.server: ssl.SSLContext | None = None
-        self.client: ssl.SSLContext | None = None
-        self.reloader: CertificateReloader | None = None
-        if tls is not None:
-            self.caller = caller_context(tls)
-            self.server = forward_server_context(tls)
-            self.client = forward_client_context(tls)
-            self.reloader = CertificateReloader(
-                tls, (self.caller, self.server, self.client)
-            )
-
-
 class _Builder:
     def __init__(self, inputs: GatewayInputs) -> None:
         settings = inputs.settings
         self._inputs = inputs
+        self._host = settings.listen.host
         self._secret = read_secret(settings.fleet_secret_file)
         self._region = RegionId(settings.region)
         self._vm_id = VmId(settings.vm_id)
-        self._contexts = _Contexts(settings)
+        self._contexts = TlsContexts(settings.tls)
         self._keys = KeyIndex(inputs.source)
         self._records = RequestRecords(inputs.clock)
         self._running = RunningRequests(inputs.source, self._keys)
@@ -185,7 +148,7 @@
             inputs.settings.region, self._keys, inputs.registry
         ).add_to(app)
         port = inputs.settings.listen.caller_port
-        return self._listener(app, port, self._contexts.caller)
+        return Listener(app, self._host, port, self._contexts.caller)
 
     def _forward_listener(self, serving: Serving, drain: Drain) -> Listener:
         app = new_app('forward')
@@ -199,7 +162,7 @@
             drain,
         ).add_to(app)
         port = self._inputs.settings.listen.forward_port
-        return self._listener(app, port, self._contexts.server)
+        return Listener(app, self._host, port, self._contexts.server)
 
     def _operator_listener(self) -> Listener:
         inputs = self._inputs
@@ -225,13 +188,7 @@
             )
         ).add_to(app)
         port = inputs.settings.listen.operator_port
-        return self._listener(app, port, self._contexts.caller)
-
-    def _listener(
-        self, app: Sanic, port: int, context: ssl.SSLContext | None
-    ) -> Listener:
-        host = self._inputs.settings.listen.host
-        return Listener(HttpServer(app, host, port, context))
+        return Listener(app, self._host, port, self._contexts.caller)
 
 
 def build_gateway(inputs: GatewayInputs) -> Gateway:
