--- /dev/null
+++ b/features/functional/gateway_callers.feature
@@ -0,0 +1,99 @@
+Feature: Gateway for callers
+  Guards against answers that are cut, crossed or run twice without a word,
+  against keys that leak or outlive their withdrawal, and against refusals
+  that are not true.
+
+  Scenario: The openai client works unmodified
+    Given a gateway VM with endpoints "sound"
+    Then the gateway serves the openai client streams, answers, models and errors
+
+  Scenario: A key never leaves the gateway
+    Given a gateway VM with endpoints "sound"
+    When the gateway gets the key in header, query, path and escaped body
+    Then no endpoint of the gateway saw the key
+
+  Scenario: A withdrawn key is cut off within a second
+    Given a gateway VM with endpoints "slow"
+    When the gateway streams and the key is withdrawn in the middle
+    Then the gateway ended the stream with the error "key_withdrawn"
+    And the gateway refuses the key on the same connection with 401
+
+  Scenario Outline: A faulty endpoint is made up for by another
+    Given a gateway VM with endpoints "<faulty>, sound"
+    When the gateway is asked for a <kind> answer of 6 tokens
+    Then the gateway gave the whole answer of 6 tokens
+    And the gateway charged 6 output tokens
+
+    Examples:
+      | faulty       | kind    |
+      | cut          | stream  |
+      | stall        | stream  |
+      | wrong_id     | stream  |
+      | wrong_header | stream  |
+      | not_run      | stream  |
+      | error        | whole   |
+      | short        | whole   |
+      | wrong_id     | whole   |
+      | down         | whole   |
+
+  Scenario Outline: What cannot be made up for ends with an explicit error
+    Given a gateway VM with endpoints "<faulty>"
+    When the gateway is asked for a <kind> answer of 6 tokens
+    Then the gateway gave the error "<code>" with executed "<executed>"
+
+    Examples:
+      | faulty       | kind   | code             | executed |
+      | cut          | stream | stream_broken    | unknown  |
+      | wrong_header | whole  | answer_mismatch  | unknown  |
+      | short        | whole  | endpoint_failed  | unknown  |
+      | hang         | whole  | endpoint_timeout | unknown  |
+      | not_run      | whole  | endpoint_failed  | no       |
+      | down         | stream | endpoint_failed  | no       |
+
+  Scenario: A stream is not resumed where the engine cannot resume
+    Given a gateway VM with endpoints "cut, noresume"
+    When the gateway is asked for a stream answer of 6 tokens
+    Then the gateway gave the error "stream_broken" with executed "unknown"
+
+  Scenario Outline: The work of a caller that goes away is cancelled
+    Given a gateway VM with endpoints "<endpoint>"
+    When a caller of the gateway goes away from a <kind> answer
+    Then the gateway cancelled the engine's work and settled
+
+    Examples:
+      | endpoint | kind   |
+      | slow     | stream |
+      | hang     | whole  |
+
+  Scenario: A slow caller slows the endpoint down
+    Given a gateway VM with endpoints "flood"
+    When a caller of the gateway reads nothing of a large stream
+    Then the endpoint of the gateway could send less than 32 MB of 128 MB
+
+  Scenario: Classes of work and residency are narrowed, never widened
+    Given two gateway VMs in regions with endpoints "sound"
+    Then the gateway treats the headers as follows
+      | work_class | residency      | status | class       | regions |
+      |            |                | 200    | interactive | tunis-a sfax-a |
+      | batch      | sfax-a         | 200    | batch       | sfax-a  |
+      |            | sfax-a,paris   | 200    | interactive | sfax-a  |
+      |            | paris          | 403    |             |         |
+      | nightly    |                | 400    |             |         |
+
+  Scenario: Bad input is refused and runs nothing
+    Given a gateway VM with endpoints "sound"
+    Then the gateway refuses every kind of bad input with a 4xx
+    And no endpoint of the gateway was called
+
+  Scenario: A draining VM finishes running work and refuses new work
+    Given a gateway VM with endpoints "slow"
+    When the gateway drains while a stream runs
+    Then the gateway finished the stream and refused new work as not run
+
+  Scenario: A second stop request ends the drain
+    Given a gateway VM with endpoints "hang"
+    Then a second stop request ends the drain of the gateway
+
+  Scenario: Certificates are reloaded without a restart
+    Given a gateway VM with TLS
+    Then the gateway shows a new certificate after the files change
--- /dev/null
+++ b/features/functional/gateway_forwarding.feature
@@ -0,0 +1,29 @@
+Feature: Forwarding between VMs
+  Guards against requests that loop, leave their residency, or end silently
+  when a VM on the way is lost.
+
+  Scenario Outline: A request is forwarded once and served
+    Given two gateway VMs in regions with endpoints "sound"
+    When the gateway is asked for a <kind> answer of 6 tokens
+    Then the gateway gave the whole answer of 6 tokens
+    And the gateway charged 6 output tokens
+    And the forwarded request of the gateway carried hop 1 and no key
+
+    Examples:
+      | kind   |
+      | stream |
+      | whole  |
+
+  Scenario: A forwarded request is served or refused, never forwarded
+    Given two gateway VMs in regions with endpoints "sound"
+    Then the forward listener of the gateway refuses what it must not serve
+
+  Scenario: A serving VM that is lost ends the stream with an error
+    Given two gateway VMs in regions with endpoints "slow"
+    When the gateway loses the serving VM in the middle of a stream
+    Then the gateway gave the error "stream_broken" with executed "unknown"
+
+  Scenario: A serving VM that cannot be reached did not run the request
+    Given two gateway VMs in regions with endpoints "sound"
+    When the serving VM of the gateway is down
+    Then the gateway gave the error "region_unreachable" with executed "no"
--- /dev/null
+++ b/features/steps/gateway_callers.py
@@ -0,0 +1,406 @@
+"""Exercise the caller listener of the gateway."""
+
+import asyncio
+import datetime
+import json
+import ssl
+
+import openai
+from baobabwharf_core.model import KeyRecord
+from behave import given, then, when
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from gateway_fakes import KEY, digest, fleet_config
+from gateway_subject import BEARER, CHAT, GatewaySubject
+
+
+def begin(context, names, count=1, **settings):
+    subject = GatewaySubject(context.path)
+    context.subject = subject
+    context.add_cleanup(subject.close)
+    subject.run(subject.start(names, count, **settings))
+
+
+@given('a gateway VM with endpoints "{names}"')
+def one_vm(context, names):
+    begin(context, names)
+
+
+@given('two gateway VMs in regions with endpoints "{names}"')
+def two_vms(context, names):
+    begin(context, names, 2)
+
+
+@then(
+    'the gateway serves the openai client streams, answers, models and errors'
+)
+def openai_client(context):
+    context.subject.run(use_client(context.subject))
+
+
+async def use_client(subject):
+    base = f'{subject.vm.caller}/v1'
+    async with openai.AsyncOpenAI(api_key=KEY, base_url=base) as client:
+        asked = GatewaySubject.body()
+        whole = await client.chat.completions.create(
+            **{**asked, 'stream': False}
+        )
+        assert whole.choices[0].message.content == 't0 t1 t2 t3 t4 t5 '
+        assert whole.usage.completion_tokens == 6
+        stream = await client.chat.completions.create(**asked)
+        texts = [event.choices[0].delta.content async for event in stream]
+        assert texts == ['t0 ', 't1 ', 't2 ', 't3 ', 't4 ', 't5 ']
+        assert [m.id async for m in client.models.list()] == ['rota-1']
+        try:
+            await client.chat.completions.create(**{**asked, 'model': 'other'})
+            raise AssertionError('The unknown model was accepted.')
+        except openai.NotFoundError as fault:
+            assert fault.code == 'model_unknown'
+        stranger = client.with_options(api_key='stranger')
+        try:
+            await stranger.models.list()
+            raise AssertionError('The unknown key was accepted.')
+        except openai.AuthenticationError as fault:
+            assert fault.code == 'key_unknown'
+
+
+@when('the gateway gets the key in header, query, path and escaped body')
+def leak(context):
+    context.subject.run(send_leaks(context.subject))
+
+
+async def send_leaks(subject):
+    escaped = json.dumps(GatewaySubject.body(user=KEY)).replace(
+        KEY, f'\\u{ord(KEY[0]):04x}{KEY[1:]}'
+    )
+    headers = {**BEARER, 'Content-Type': 'application/json', 'X-Note': KEY}
+    assert (
+        await subject.send('POST', CHAT, data=escaped, headers=headers) == 200
+    )
+    quoted = f'%{ord(KEY[0]):02x}{KEY[1:]}'
+    path = f'/services/desk/{KEY}?a={KEY}&b={quoted}'
+    assert await subject.send('PUT', path, data=KEY, headers=headers) == 200
+
+
+@then('no endpoint of the gateway saw the key')
+def no_leak(context):
+    seen = context.subject.endpoint.seen
+    assert len(seen) == 2
+    for request, body in seen:
+        shown = f'{request.path_qs} {request.raw_path} {dict(request.headers)}'
+        assert KEY not in shown and KEY[1:] not in shown, shown
+        assert KEY[1:].encode() not in body, body
+
+
+@when('the gateway streams and the key is withdrawn in the middle')
+def withdraw(context):
+    subject = context.subject
+
+    async def work():
+        chat = asyncio.ensure_future(subject.chat('stream', 400))
+        await subject.endpoint.started.wait()
+        subject.vm.source.withdrawn.add(digest(KEY))
+        # The stream takes 20 s; a withdrawal reaches it within one.
+        await asyncio.wait_for(chat, 1)
+
+    subject.run(work())
+
+
+@then('the gateway ended the stream with the error "{code}"')
+def ended_with(context, code):
+    assert context.subject.error()['code'] == code
+
+
+@then('the gateway refuses the key on the same connection with 401')
+def keep_alive_cut(context):
+    subject = context.subject
+
+    async def work():
+        subject.vm.source.withdrawn.clear()
+        assert await subject.send('GET', '/v1/models') == 200
+        record = KeyRecord('k1', 'c1', digest(KEY), withdrawn=True)
+        subject.vm.source.current = fleet_config(keys={'k1': record})
+        assert await subject.send('GET', '/v1/models') == 401
+        assert subject.error()['code'] == 'key_withdrawn'
+
+    subject.run(work())
+
+
+@when('the gateway is asked for a {kind} answer of {count:d} tokens')
+def ask(context, kind, count):
+    subject = context.subject
+    if subject.endpoints and subject.endpoint.fault == 'hang':
+        targets = dict(subject.vm.source.current.targets)
+        short = targets['interactive'].__class__('interactive', 200, 300)
+        subject.vm.source.current = fleet_config(targets={'interactive': short})
+    subject.run(subject.chat(kind, count))
+
+
+@then('the gateway gave the whole answer of {count:d} tokens')
+def whole_answer(context, count):
+    subject = context.subject
+    assert subject.status == 200, subject.text
+    expected = ''.join(f't{index} ' for index in range(count))
+    assert subject.answer() == expected, subject.text
+
+
+@then('the gateway charged {count:d} output tokens')
+def charged(context, count):
+    ((reserved, used),) = context.subject.vm.limits.settled
+    assert used == reserved, (reserved, used)
+
+
+@then('the gateway gave the error "{code}" with executed "{executed}"')
+def gave_error(context, code, executed):
+    error = context.subject.error()
+    assert (error['code'], error['executed']) == (code, executed), error
+    ((reserved, used),) = context.subject.vm.limits.settled
+    assert (used == 0) == (executed == 'no'), (reserved, used)
+
+
+@when('a caller of the gateway goes away from a {kind} answer')
+def go_away(context, kind):
+    subject = context.subject
+
+    async def work():
+        chat = asyncio.ensure_future(subject.chat(kind, 400))
+        await subject.endpoint.started.wait()
+        chat.cancel()
+        await subject.until(lambda: subject.endpoint.cancelled)
+        await subject.until(lambda: subject.vm.limits.settled)
+
+    subject.run(work())
+
+
+@then("the gateway cancelled the engine's work and settled")
+def cancelled(context):
+    subject = context.subject
+    request = subject.endpoint.seen[0][0]
+    assert subject.endpoint.cancelled == [request.headers['X-Request-Id']]
+    assert [outcome.succeeded for outcome in subject.vm.router.outcomes] == [
+        False
+    ]
+
+
+@when('a caller of the gateway reads nothing of a large stream')
+def read_nothing(context):
+    subject = context.subject
+
+    async def work():
+        body = json.dumps(GatewaySubject.body()).encode()
+        port = subject.vm.settings.listen.caller_port
+        _reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port, limit=1024
+        )
+        writer.write(
+            b'POST %b HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %b\r\n'
+            b'Content-Length: %d\r\n\r\n%b'
+            % (CHAT.encode(), KEY.encode(), len(body), body)
+        )
+        await subject.endpoint.started.wait()
+        sent = -1
+        while sent != subject.endpoint.sent_bytes:
+            sent = subject.endpoint.sent_bytes
+            await asyncio.sleep(0.3)
+        writer.close()
+
+    subject.run(work())
+
+
+@then('the endpoint of the gateway could send less than 32 MB of 128 MB')
+def bounded(context):
+    sent = context.subject.endpoint.sent_bytes
+    # The buffers of the kernel hold several MB on each of the two hops.
+    assert 0 < sent < 32 * 1024 * 1024, sent
+
+
+@then('the gateway treats the headers as follows')
+def narrowed(context):
+    subject = context.subject
+    for row in context.table:
+        headers = dict(BEARER)
+        if row['work_class']:
+            headers['X-Work-Class'] = row['work_class']
+        if row['residency']:
+            headers['X-Residency'] = row['residency']
+        subject.run(subject.chat('whole', headers=headers))
+        assert subject.status == int(row['status']), subject.text
+        if subject.status == 200:
+            facts = subject.vm.router.facts[-1]
+            assert facts.work_class == row['class']
+            assert ' '.join(facts.residency) == row['regions']
+
+
+@then('the gateway refuses every kind of bad input with a 4xx')
+def bad_input(context):
+    context.subject.run(send_bad_input(context.subject))
+
+
+def http(body, *lines, path=CHAT, length=None):
+    size = len(body) if length is None else length
+    head = [f'POST {path} HTTP/1.1', 'Host: x', f'Authorization: Bearer {KEY}']
+    head += [f'Content-Length: {size}', *lines]
+    return '\r\n'.join(head).encode() + b'\r\n\r\n' + body
+
+
+async def send_bad_input(subject):
+    chat = GatewaySubject.body
+    bodies = (
+        b'',
+        b'{',
+        b'[' * 100_000,
+        b'\xff\xfe',
+        b'{"model":"rota-1","messages":"x"}',
+        json.dumps(chat(messages=[])).encode(),
+        json.dumps(chat(tokens=10**9)).encode(),
+        json.dumps(chat(tokens=-1)).encode(),
+        json.dumps(chat(tokens='6')).encode(),
+        json.dumps(chat(n=10**6)).encode(),
+        json.dumps(chat(model='other')).encode(),
+        b'{"model":"rota-1","messages":[{"role":"user","content":"\xff"}]}',
+    )
+    requests = [http(body) for body in bodies]
+    requests += [
+        http(b'{}', 'Content-Length: 7'),
+        http(b'{}', 'Transfer-Encoding: chunked'),
+        http(b'{}', length=9 * 1024 * 1024),
+        http(b'{}', length=-1),
+        http(b'{}', 'X-Long: ' + 'x' * 40_000),
+        http(b'{}', path='/v1/nothing'),
+        b'NONSENSE\r\n\r\n',
+        b'GET / HTTP/9\r\n\r\n',
+    ]
+    for request in requests:
+        answer = await subject.raw(request, hold_s=0.02)
+        status = answer.split(b' ', 2)[1] if answer else b''
+        assert status.startswith(b'4'), (request[:200], answer[:300])
+        assert b'Traceback' not in answer
+        assert b'"error"' in answer
+
+
+@then('no endpoint of the gateway was called')
+def not_called(context):
+    assert not context.subject.endpoint.seen
+    assert not context.subject.vm.limits.reserved
+
+
+@when('the gateway drains while a stream runs')
+def drain(context):
+    subject = context.subject
+
+    async def work():
+        gateway = subject.vm.gateway
+        chat = asyncio.ensure_future(subject.chat('stream', 20))
+        await subject.endpoint.started.wait()
+        gateway.drain.request_stop()
+        assert subject.vm.membership.left
+        async with subject.session.post(
+            subject.vm.caller + CHAT,
+            json=GatewaySubject.body(),
+            headers=BEARER,
+        ) as answer:
+            context.refused = answer.status, await answer.json()
+            context.connection = answer.headers['Connection']
+        await gateway.drain.wait()
+        assert chat.done() or await chat
+        context.state = gateway.drain.state
+
+    subject.run(work())
+
+
+@then('the gateway finished the stream and refused new work as not run')
+def drained(context):
+    assert context.subject.answer().endswith('t19 ')
+    status, answer = context.refused
+    assert status == 503
+    assert answer['error']['code'] == 'vm_stopping'
+    assert answer['error']['executed'] == 'no'
+    assert context.connection == 'close'
+    assert context.state == 'releasing'
+
+
+@then('a second stop request ends the drain of the gateway')
+def drain_ends(context):
+    subject = context.subject
+
+    async def work():
+        chat = asyncio.ensure_future(subject.chat('stream'))
+        await subject.endpoint.started.wait()
+        drain = subject.vm.gateway.drain
+        drain.request_stop()
+        waiting = asyncio.ensure_future(drain.wait())
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        drain.request_stop()
+        await waiting
+        chat.cancel()
+
+    subject.run(work())
+
+
+def write_certificate(folder, name):
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(subject)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    public = certificate.public_bytes(pem)
+    (folder / 'ca.pem').write_bytes(public)
+    (folder / 'cert.pem').write_bytes(public)
+    (folder / 'key.pem').write_bytes(
+        key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return ssl.PEM_cert_to_DER_cert(public.decode())
+
+
+@given('a gateway VM with TLS')
+def tls_vm(context):
+    context.shown = write_certificate(context.path, 'first')
+    files = {
+        'ca_file': context.path / 'ca.pem',
+        'certificate_file': context.path / 'cert.pem',
+        'key_file': context.path / 'key.pem',
+    }
+    begin(context, 'sound', tls=files)
+
+
+@then('the gateway shows a new certificate after the files change')
+def reloaded(context):
+    subject = context.subject
+    port = subject.vm.settings.listen.caller_port
+
+    async def shown():
+        plain = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        plain.check_hostname = False
+        plain.verify_mode = ssl.CERT_NONE
+        _reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port, ssl=plain
+        )
+        connection = writer.get_extra_info('ssl_object')
+        writer.close()
+        return connection.getpeercert(binary_form=True)
+
+    async def work():
+        assert await shown() == context.shown
+        second = write_certificate(context.path, 'second')
+        for _ in range(100):
+            if await shown() == second:
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError('The new certificate was not shown.')
+
+    subject.run(work())
--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -21,7 +21,7 @@
     route_key,
 )
 from baobabwharf_core.platform import LeaseAnswer
-from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import (
     EndpointChoice,
     RegionChoice,
@@ -317,8 +317,8 @@
 class FakeEndpoint:
     """Answer as an endpoint does, with one fault if asked.
 
-    Faults: hang, cut (at a token), wrong_header, wrong_id, not_run, refuse,
-    short, stall.
+    Faults: hang, hangup, cut (at a token), wrong_header, wrong_id, not_run,
+    error, short, stall, flood.
     """
 
     def __init__(self, name='e1', *, resume=True, fault='', at=2, pause=0.0):
@@ -328,6 +328,7 @@
         self.at = at
         self.pause = pause
         self.seen = []
+        self.sent_bytes = 0
         self.cancelled = []
         self.started = asyncio.Event()
 
@@ -373,6 +374,10 @@
             return web.Response(status=500, headers=headers)
         if self.fault == 'hang':
             await asyncio.sleep(60)
+        if self.fault == 'hangup':
+            request.transport.abort()
+        if self.fault == 'flood':
+            return await self._flood(request, headers)
         if not request.path.startswith('/v1/'):
             await asyncio.sleep(self.pause)
             text = f'{len(self.seen)} {request.method} {request.path_qs}'
@@ -382,6 +387,16 @@
             return await self._stream(request, wanted, headers)
         return await self._whole(request, wanted, headers)
 
+    async def _flood(self, request, headers):
+        response = web.StreamResponse(headers=headers)
+        response.content_type = 'text/event-stream'
+        await response.prepare(request)
+        event = b'data: {"choices":[],"pad":"%b"}\n\n' % (b'x' * 65536)
+        for _ in range(2048):
+            await response.write(event)
+            self.sent_bytes += len(event)
+        return response
+
     async def _whole(self, request, wanted, headers):
         count = wanted['max_tokens']
         request_id = headers['X-Request-Id']
@@ -446,7 +461,3 @@
             await asyncio.sleep(self.pause)
         await response.write(b'data: [DONE]\n\n')
         return response
-
-
-def maybe_ran(answer):
-    return answer['error']['executed'] == Executed.UNKNOWN.value
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
@@ -103,7 +103,8 @@
             task.add_done_callback(self._cancels.discard)
 
     async def _cancel(self, attempt: Attempt) -> None:
-        assert self._session is not None
+        if self._session is None or self._session.closed:
+            return
         try:
             async with self._session.post(
                 URL(attempt.choice.url + CANCEL_PATH),
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/watchdog.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/watchdog.py
@@ -23,7 +23,10 @@
         self._progressed = False
         self._waiting = False
         self._fired = False
-        self._timer = self._loop.call_later(limit_s, self._check)
+        self._first_by = self._loop.time() + limit_s
+        self._timer = self._loop.call_later(
+            min(limit_s, STREAM_IDLE_S), self._check
+        )
 
     @property
     def fired(self) -> bool:
@@ -38,6 +41,7 @@
         """Record that a chunk arrived; a slow receiver costs no time."""
         self._progressed = True
         self._waiting = False
+        self._first_by = 0.0
 
     def stop(self) -> None:
         """Stop watching."""
@@ -46,7 +50,14 @@
     def _check(self) -> None:
         if self._progressed or not self._waiting:
             self._progressed = False
-            self._timer = self._loop.call_later(STREAM_IDLE_S, self._check)
+            self._set_timer(STREAM_IDLE_S)
+            return
+        left_s = self._first_by - self._loop.time()
+        if left_s > 0:
+            self._set_timer(min(left_s, STREAM_IDLE_S))
             return
         self._fired = True
         self._response.close()
+
+    def _set_timer(self, delay_s: float) -> None:
+        self._timer = self._loop.call_later(delay_s, self._check)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/body.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/body.py
@@ -7,6 +7,8 @@
 from sanic import Request
 from sanic.exceptions import PayloadTooLarge, SanicException
 
+from baobabwharf_daemon.gateway.http_server import MAX_BODY_BYTES
+
 BODY_TIMEOUT_S = 30
 # Bodies of all running requests together.
 MAX_HELD_BYTES = 96 * 1024 * 1024
@@ -23,6 +25,8 @@
     async def read(self, request: Request) -> bytes | Refusal:
         """Return the body; the caller must release its size later."""
         announced = _announced(request)
+        if announced > MAX_BODY_BYTES:
+            return Refusal(RefusalCode.REQUEST_TOO_LARGE)
         if self._held + announced > self._bound:
             return Refusal(
                 RefusalCode.QUEUE_FULL,
--- a/packages/daemon/src/baobabwharf_daemon/gateway/drain.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/drain.py
@@ -56,8 +56,7 @@
     async def wait(self) -> None:
         """Wait until running work is finished or must be given up."""
         await self._requested.wait()
-        idle = [asyncio.ensure_future(one.wait_idle()) for one in self._running]
-        finished = asyncio.gather(*idle)
+        finished = asyncio.ensure_future(self._all_idle())
         again = asyncio.ensure_future(self._again.wait())
         done, _pending = await asyncio.wait(
             (finished, again),
@@ -75,5 +74,9 @@
         """Record that chunks, leases and leadership were given back."""
         self._step('released')
 
+    async def _all_idle(self) -> None:
+        for work in self._running:
+            await work.wait_idle()
+
     def _step(self, event: str) -> None:
         self._state = _CHART.step(self._state, event)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
@@ -7,7 +7,7 @@
 
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from sanic import HTTPResponse, Request, Sanic
-from sanic.exceptions import SanicException
+from sanic.exceptions import RequestCancelled, SanicException
 from sanic.handlers import ErrorHandler
 
 from baobabwharf_daemon.gateway.errors import (
@@ -25,10 +25,13 @@
 # request ends them, not this bound.
 ANSWER_TIMEOUT_S = 24 * 3600
 SWEEP_INTERVAL_S = 1
+_CLOSE_POLL_S = 0.02
+_CLOSE_TURNS = 50
 _BACKLOG = 1024
 _TOO_LARGE = 413
 _SERVER_ERROR = 500
-_NOT_FOUND = 404
+# Customary for a connection that the caller closed.
+_CALLER_GONE = 499
 
 _LOG = get_logger('gateway')
 _numbers = itertools.count(1)
@@ -38,6 +41,9 @@
     """Answer faults of the HTTP layer with an error object."""
 
     def default(self, request: Request, exception: Exception) -> HTTPResponse:
+        if isinstance(exception, RequestCancelled):
+            # The caller is gone; nobody reads this answer.
+            return HTTPResponse(status=_CALLER_GONE)
         refusal = _refusal_of(exception)
         status = _status_of(exception, refusal)
         count_refusal(refusal)
@@ -136,8 +142,17 @@
         await asyncio.sleep(0)
         for connection in list(self._server.connections):
             connection.close()
+        await self._wait_closed()
         await self._server.wait_closed()
 
+    async def _wait_closed(self) -> None:
+        """Let the handlers of closed connections clean up."""
+        turns = _CLOSE_TURNS
+        while self._server.connections and turns:
+            turns -= 1
+            await asyncio.sleep(_CLOSE_POLL_S)
+        await asyncio.sleep(_CLOSE_POLL_S)
+
     async def _sweep(self) -> None:
         """Close connections that send their headers too slowly."""
         since: dict[Any, float] = {}
--- a/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
@@ -42,13 +42,19 @@
     stream: bool | None = False
     n: int | None = 1
     max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+    @property
+    def asked_tokens(self) -> list[int]:
+        """Return the output bounds that the body states."""
+        asked = (self.max_tokens, self.max_completion_tokens)
+        return [count for count in asked if count is not None]
 
 
 class ChatBody(_Sampling):
     """Hold what the gateway reads of a chat completion request."""
 
     messages: list[Message] = msgspec.field(default_factory=list)
-    max_completion_tokens: int | None = None
 
 
 class CompletionBody(_Sampling):
@@ -102,13 +108,11 @@
         return _invalid('messages must not be empty.')
     texts = [_message_text(message) for message in parsed.messages]
     tokens = sum(map(text_tokens, texts)) + TOKENS_PER_MESSAGE * len(texts)
-    asked = [parsed.max_tokens, parsed.max_completion_tokens]
     return _bounded(
         parsed,
         body,
         prompt='\n'.join(texts),
         prompt_tokens=tokens,
-        asked=[count for count in asked if count is not None],
         default=DEFAULT_CHAT_TOKENS,
     )
 
@@ -122,13 +126,11 @@
     prompt, tokens, count = _prompt_text(parsed.prompt)
     if count > MAX_CHOICES:
         return _invalid(f'prompt must hold at most {MAX_CHOICES} prompts.')
-    asked = [] if parsed.max_tokens is None else [parsed.max_tokens]
     return _bounded(
         parsed,
         body,
         prompt=prompt,
         prompt_tokens=tokens,
-        asked=asked,
         default=DEFAULT_COMPLETION_TOKENS,
         prompts=count,
     )
@@ -140,11 +142,11 @@
     *,
     prompt: str,
     prompt_tokens: int,
-    asked: list[int],
     default: int,
     prompts: int = 1,
 ) -> ParsedBody | Refusal:
     choices = 1 if parsed.n is None else parsed.n
+    asked = parsed.asked_tokens
     bound = max(asked, default=default)
     if not parsed.model:
         return _invalid('model must not be empty.')
