--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -0,0 +1,196 @@
+"""Build the HTTP side of the daemon from its settings and the interfaces."""
+
+from collections.abc import Callable
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import RegionId, VmId
+
+from baobabwharf_daemon.forwarding.endpoint_client import EndpointClient
+from baobabwharf_daemon.forwarding.forwarder import Forwarder
+from baobabwharf_daemon.forwarding.listener import ForwardRoutes
+from baobabwharf_daemon.forwarding.serving import Serving
+from baobabwharf_daemon.forwarding.wire import MAX_HEAD_BYTES
+from baobabwharf_daemon.gateway.assembly import (
+    Gateway,
+    Listener,
+    Watch,
+    Watcher,
+)
+from baobabwharf_daemon.gateway.auth import KeyIndex
+from baobabwharf_daemon.gateway.bookings import Bookings
+from baobabwharf_daemon.gateway.caller_app import CallerParts, CallerRoutes
+from baobabwharf_daemon.gateway.catalog import RegistryCatalog
+from baobabwharf_daemon.gateway.certificates import TlsContexts
+from baobabwharf_daemon.gateway.drain import Drain
+from baobabwharf_daemon.gateway.exchange import Exchange
+from baobabwharf_daemon.gateway.facts import RequestIds, RouteIndex
+from baobabwharf_daemon.gateway.http_server import (
+    MAX_BODY_BYTES,
+    new_app,
+)
+from baobabwharf_daemon.gateway.pipeline import Pipeline
+from baobabwharf_daemon.gateway.platform_routes import PlatformRoutes
+from baobabwharf_daemon.gateway.records import RequestRecords
+from baobabwharf_daemon.gateway.running import RunningRequests
+from baobabwharf_daemon.interfaces import (
+    ChangeClient,
+    ClaimClient,
+    ConfigSource,
+    EndpointRegistry,
+    LimitClient,
+    MembershipView,
+    ModelCatalog,
+    Router,
+    StatusSource,
+)
+from baobabwharf_daemon.operator.changes import Changes
+from baobabwharf_daemon.operator.events import EventLog
+from baobabwharf_daemon.operator.routes import OperatorParts, OperatorRoutes
+from baobabwharf_daemon.rpc import read_secret
+from baobabwharf_daemon.settings import Settings
+
+__all__ = ('Gateway', 'GatewayInputs', 'RegistryCatalog', 'build_gateway')
+
+
+class GatewayInputs(msgspec.Struct, frozen=True):
+    """Hold what the rest of the daemon gives to the HTTP side.
+
+    tombstone spreads the digest of a withdrawn key ahead of the log.
+    """
+
+    settings: Settings
+    clock: Clock
+    source: ConfigSource
+    changes: ChangeClient
+    claims: ClaimClient
+    limits: LimitClient
+    membership: MembershipView
+    router: Router
+    registry: EndpointRegistry
+    catalog: ModelCatalog
+    status: StatusSource
+    tombstone: Callable[[bytes], None]
+    events: EventLog
+
+
+class _Builder:
+    def __init__(self, inputs: GatewayInputs) -> None:
+        settings = inputs.settings
+        self._inputs = inputs
+        self._host = settings.listen.host
+        self._secret = read_secret(settings.fleet_secret_file)
+        self._region = RegionId(settings.region)
+        self._vm_id = VmId(settings.vm_id)
+        self._contexts = TlsContexts(settings.tls)
+        self._keys = KeyIndex(inputs.source)
+        self._records = RequestRecords(inputs.clock)
+        self._running = RunningRequests(inputs.source, self._keys)
+        self._client = EndpointClient()
+
+    def build(self) -> Gateway:
+        inputs = self._inputs
+        serving = Serving(
+            self._region, inputs.router, self._client, inputs.clock
+        )
+        forwarder = Forwarder(
+            self._vm_id,
+            self._region,
+            self._secret,
+            self._contexts.client,
+            inputs.settings.address_overrides,
+        )
+        pipeline = Pipeline(
+            inputs.router, inputs.limits, serving, forwarder, inputs.clock
+        )
+        bookings = Bookings(self._vm_id, pipeline, inputs.claims)
+        drain = Drain(
+            inputs.membership,
+            (self._running, bookings),
+            inputs.settings.drain_deadline_ms,
+        )
+        watchers: list[Watch] = [self._running.watch]
+        if self._contexts.reloader is not None:
+            watchers.append(self._contexts.reloader.watch)
+        return Gateway(
+            drain,
+            (
+                self._client,
+                forwarder,
+                Watcher(*watchers),
+                self._forward_listener(serving, drain),
+                self._operator_listener(),
+                self._caller_listener(pipeline, bookings, drain),
+            ),
+        )
+
+    def _caller_listener(
+        self, pipeline: Pipeline, bookings: Bookings, drain: Drain
+    ) -> Listener:
+        inputs = self._inputs
+        app = new_app('caller')
+        parts = CallerParts(
+            settings=inputs.settings,
+            source=inputs.source,
+            membership=inputs.membership,
+            catalog=inputs.catalog,
+            keys=self._keys,
+            routes=RouteIndex(),
+            request_ids=RequestIds(),
+            records=self._records,
+            pipeline=pipeline,
+            bookings=bookings,
+            exchange=Exchange(self._running),
+            drain=drain,
+        )
+        CallerRoutes(parts).add_to(app)
+        PlatformRoutes(
+            inputs.settings.region, self._keys, inputs.registry
+        ).add_to(app)
+        port = inputs.settings.listen.caller_port
+        return Listener(app, self._host, port, self._contexts.caller)
+
+    def _forward_listener(self, serving: Serving, drain: Drain) -> Listener:
+        app = new_app('forward')
+        app.config.REQUEST_MAX_SIZE = MAX_BODY_BYTES + MAX_HEAD_BYTES
+        ForwardRoutes(
+            self._region,
+            self._secret,
+            serving,
+            self._records,
+            self._running,
+            drain,
+        ).add_to(app)
+        port = self._inputs.settings.listen.forward_port
+        return Listener(app, self._host, port, self._contexts.server)
+
+    def _operator_listener(self) -> Listener:
+        inputs = self._inputs
+        changes = Changes(
+            inputs.changes,
+            inputs.source,
+            inputs.status,
+            inputs.tombstone,
+            inputs.events,
+            inputs.clock,
+        )
+        app = new_app('operator')
+        OperatorRoutes(
+            OperatorParts(
+                inputs.settings.operator_token_digests,
+                changes,
+                inputs.changes,
+                inputs.source,
+                inputs.status,
+                inputs.router,
+                self._records,
+                inputs.events,
+            )
+        ).add_to(app)
+        port = inputs.settings.listen.operator_port
+        return Listener(app, self._host, port, self._contexts.caller)
+
+
+def build_gateway(inputs: GatewayInputs) -> Gateway:
+    """Return the HTTP side of a VM; nothing is opened before start."""
+    return _Builder(inputs).build()
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -104,6 +104,15 @@
         """Return the regions that have sent a summary."""
         return tuple(self._reports)
 
+    def models_elsewhere(self) -> dict[ModelId, ServiceId]:
+        """Return the service of each model in the summaries."""
+        return {
+            model: service
+            for report in self._reports.values()
+            for service, model in report.groups
+            if model is not None
+        }
+
     def on_summary(
         self, summary: RegionSummary, now_ms: int, age_ms: int = 0
     ) -> bool:
