Routing: let patient work leave a region as early as urgent work

Cause: batch work left only above a tenth of its own target (6 s) and held slots at home that interactive work waited for.

--- a/packages/decisions/src/baobabwharf_decisions/admission.py
+++ b/packages/decisions/src/baobabwharf_decisions/admission.py
@@ -188,6 +188,11 @@
             queue.waiting for queue in self._queues if queue.rank_ms <= rank_ms
         )
 
+    @property
+    def urgent_ms(self) -> int | None:
+        """Return the goal of the most urgent class that was seen."""
+        return self._queues[0].rank_ms if self._queues else None
+
     def most_urgent(self, rank_ms: int) -> bool:
         """Tell whether no known class is more urgent than this one."""
         return not self._queues or rank_ms <= self._queues[0].rank_ms
--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -119,13 +119,14 @@
         )
         candidate = self._choose(lane, facts, frozenset(), now_ms)
         if candidate is None:
-            return HomeView(True, wait_ms, wait_ms + group.service_ms)
+            complete_ms = wait_ms + group.service_ms
+            return HomeView(True, wait_ms, complete_ms, lane.urgent_ms)
         expected = candidate.expected
         return HomeView(
             True,
             wait_ms + expected.first_token_ms,
             wait_ms + expected.complete_ms,
-            candidate.cached_share,
+            lane.urgent_ms,
         )
 
     def outside(
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -43,7 +43,8 @@
     serves: bool
     first_token_ms: float
     complete_ms: float
-    cached_share: float = 0.0
+    # Goal of the most urgent class that shares the endpoints.
+    urgent_ms: int | None = None
 
 
 class Peers(msgspec.Struct, frozen=True):
@@ -99,11 +100,6 @@
         self._allowances: dict[tuple[ServiceId, WorkClass], AwayAllowance] = {}
         self.flights = Flights()
 
-    @property
-    def known_regions(self) -> tuple[RegionId, ...]:
-        """Return the regions that have sent a summary."""
-        return tuple(self._reports)
-
     def models_elsewhere(self) -> dict[ModelId, ServiceId]:
         """Return the service of each model in the summaries."""
         return {
@@ -185,8 +181,10 @@
     ) -> RegionDecision:
         allowance = self._allowance(facts)
         allowance.earn(max_away_share)
-        goal_ms = facts.first_token_ms * _STAY_SHARE
-        if home.first_token_ms <= goal_ms:
+        # Patient work leaves as early as urgent work, since it holds the slots
+        # that urgent work waits for.
+        goal_ms = home.urgent_ms or facts.first_token_ms
+        if home.first_token_ms <= goal_ms * _STAY_SHARE:
             return self._stay('it is fast enough at home')
         if not allowance.available:
             return self._stay('the allowance for other regions is used up')
