Routing: keep two fifths of the slots free of batch work

Cause: in offset peaks interactive work at home waited for batch work of 16 s.

Ruled out: no requests queued in engines (no shorter tail), half the random damping (0.162 instead of 0.135 sent away).

The test of the share now demands three free slots of eight instead of two.

--- a/features/steps/admission_runs.py
+++ b/features/steps/admission_runs.py
@@ -207,7 +207,7 @@
     assert context.subject.overtaken > 0
 
 
-@then('admission keeps two of eight slots free of batch work')
+@then('admission keeps three of eight slots free of batch work')
 def keeps_free(context: Context) -> None:
     directory = Directory(random.Random(1))
     directory.announce(
@@ -220,7 +220,7 @@
     for number in range(1, 20):
         batch = facts_of(number, 'c', 60_000)
         placed += lanes.place_now(batch, NONE, 0) is not None
-    assert placed == 5, placed
+    assert placed == 4, placed
     assert lanes.place_now(facts_of(99, 'c'), NONE, 0) is not None
 
 
--- a/features/unit/admission_runs.feature
+++ b/features/unit/admission_runs.feature
@@ -23,7 +23,7 @@
     Then admission placed a batch request while interactive work waited
 
   Scenario: Batch work leaves a part of each endpoint free
-    Then admission keeps two of eight slots free of batch work
+    Then admission keeps three of eight slots free of batch work
 
   Scenario: The queue is bounded and refuses as not run
     Then admission refuses a customer that holds half of the places
--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -17,7 +17,7 @@
 
 # Part of each endpoint's slots that classes below the most urgent one leave
 # free, so that an urgent request never waits for the end of a long one.
-RESERVE_SHARE = 0.25
+RESERVE_SHARE = 0.4
 
 
 class LaneSet:
