Routing: exchange endpoints with all VMs of a region at once

Cause: one silent VM held up the heartbeats for the others by its timeout of 1 s, a third of a lease, in each exchange.

Change: the calls of one exchange run side by side. A functional feature runs registry and router of several VMs over loopback connections.

--- /dev/null
+++ b/features/steps/registry_sync.py
@@ -0,0 +1,396 @@
+"""Run the registry and the router of several VMs over loopback."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from itertools import count
+from pathlib import Path
+
+from baobabwharf_core.clock import SystemClock
+from baobabwharf_core.model import Customer, FleetConfig, VmRecord
+from baobabwharf_core.platform import Announcement, Heartbeat, LoadReport
+from baobabwharf_core.refusals import Executed, RefusalCode
+from baobabwharf_core.requests import AttemptOutcome, RequestFacts
+from baobabwharf_daemon.interfaces import ConfigSource, MembershipView
+from baobabwharf_daemon.metrics import RETRIES
+from baobabwharf_daemon.routing_parts import RoutingParts, build_routing
+from baobabwharf_daemon.rpc import RpcClient, RpcServer
+from baobabwharf_daemon.settings import Settings
+from behave import given, then, when
+from behave.runner import Context
+
+NONE = frozenset()
+PATIENCE_S = 15.0
+
+
+class FixedConfig(ConfigSource):
+    """Give one configuration."""
+
+    config = FleetConfig(customers={'c': Customer('c', 100, 100)})
+    ready = True
+    age_ms = 0
+
+    def is_withdrawn(self, digest: bytes) -> bool:
+        return False
+
+    def subscribe(self) -> asyncio.Queue[FleetConfig]:
+        return asyncio.Queue(1)
+
+
+class SharedMembership(MembershipView):
+    """Give the VMs that a test has listed."""
+
+    def __init__(self) -> None:
+        self.vms: list[VmRecord] = []
+
+    def live_vms(self) -> tuple[VmRecord, ...]:
+        return tuple(self.vms)
+
+    def announce_leaving(self) -> None:
+        """Do nothing; the test lists VMs by hand."""
+
+
+class RegistryFleet:
+    """Own the VMs of one scenario."""
+
+    def __init__(self, folder: Path) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.membership = SharedMembership()
+        self.parts: dict[str, RoutingParts] = {}
+        self.closers: list[Callable[[], Awaitable[None]]] = []
+        self.secret = folder / 'secret'
+        self.secret.write_text('secret')
+        self.number = 0
+
+    def do(self, work: Awaitable):
+        return self.loop.run_until_complete(work)
+
+    def list_vm(self, name: str, region: str) -> list[int]:
+        sockets = [socket.socket() for _index in range(4)]
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        ports = [each.getsockname()[1] for each in sockets]
+        for each in sockets:
+            each.close()
+        address = '127.0.0.1:{}'.format
+        self.membership.vms.append(
+            VmRecord(
+                name,
+                region,
+                'z',
+                False,
+                address(ports[2]),
+                address(ports[3]),
+                f'http://{address(ports[0])}',
+            )
+        )
+        return ports
+
+    async def start(self, name: str, region: str) -> None:
+        ports = self.list_vm(name, region)
+        settings = Settings(
+            vm_id=name,
+            region=region,
+            zone='z',
+            listen=dict(
+                zip(
+                    (
+                        'caller_port',
+                        'operator_port',
+                        'peer_port',
+                        'forward_port',
+                    ),
+                    ports,
+                    strict=True,
+                )
+            ),
+            initial_voters=('other',),
+            fleet_secret_file=self.secret,
+        )
+        server = RpcServer('secret', None)
+        client = RpcClient('secret', None)
+        parts = build_routing(
+            settings,
+            SystemClock(),
+            random.Random(1),
+            server,
+            client,
+            FixedConfig(),
+            self.membership,
+        )
+        await server.start('127.0.0.1', ports[2])
+        await parts.start()
+        parts.publish_with(lambda payload: self.publish(name, payload))
+        self.parts[name] = parts
+
+        async def close() -> None:
+            await parts.stop()
+            client.close()
+            await server.stop()
+
+        self.closers.append(close)
+
+    def publish(self, origin: str, payload: bytes) -> None:
+        for name, parts in self.parts.items():
+            if name != origin:
+                parts.on_summary(origin, payload)
+
+    def close(self) -> None:
+        for closer in self.closers:
+            self.do(closer())
+        self.loop.close()
+
+    def facts(self, **more) -> RequestFacts:
+        self.number += 1
+        return RequestFacts(
+            f'q{self.number}',
+            'c',
+            'chat',
+            'interactive',
+            (),
+            60_000,
+            1000,
+            model='m',
+            **more,
+        )
+
+    async def until(self, holds: Callable[[], bool], what: str) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + PATIENCE_S
+        while not holds():
+            assert loop.time() < end_s, f'not within {PATIENCE_S} s: {what}'
+            await asyncio.sleep(0.02)
+
+
+def announcement(name: str, region: str = 'a', incarnation: int = 5):
+    return Announcement(
+        name,
+        'chat',
+        region,
+        'z',
+        f'http://{name}',
+        incarnation,
+        ('m',),
+        slots=2,
+    )
+
+
+def beat(name: str, sequence: int, leaving: bool = False) -> Heartbeat:
+    return Heartbeat(name, 5, sequence, LoadReport(0, 0), leaving=leaving)
+
+
+@given(
+    'registry VMs "{names}" of region "{one}" and "{other}" of region "{two}"'
+)
+def start_vms(
+    context: Context, names: str, one: str, other: str, two: str
+) -> None:
+    context.fleet = RegistryFleet(context.path)
+    context.add_cleanup(context.fleet.close)
+    for name in names.split():
+        context.fleet.do(context.fleet.start(name, one))
+    context.fleet.do(context.fleet.start(other, two))
+
+
+@given('registry VM "{name}" of region "{region}" is listed but does not run')
+def list_only(context: Context, name: str, region: str) -> None:
+    context.fleet.list_vm(name, region)
+
+
+@when('registry VM "{name}" of region "{region}" starts')
+def start_later(context: Context, name: str, region: str) -> None:
+    context.fleet.do(context.fleet.start(name, region))
+
+
+@when('registry endpoint "{endpoint}" announces itself to "{name}" and beats')
+def announces(context: Context, endpoint: str, name: str) -> None:
+    fleet = context.fleet
+    registry = fleet.parts[name].registry
+    assert registry.announce(announcement(endpoint)).is_ok()
+
+    async def keep_beating() -> None:
+        for sequence in count(1):
+            registry.heartbeat(beat(endpoint, sequence))
+            await asyncio.sleep(0.3)
+
+    context.beating = fleet.loop.create_task(keep_beating())
+
+    async def stop() -> None:
+        context.beating.cancel()
+
+    fleet.closers.insert(0, stop)
+
+
+@then('registry VM "{name}" serves with endpoint "{endpoint}"')
+def serves(context: Context, name: str, endpoint: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+
+    def at_home() -> bool:
+        choice = router.choose_region(fleet.facts())
+        return choice.is_ok() and choice.ok.vm_id is None
+
+    async def work() -> None:
+        await fleet.until(at_home, f'{name} knows the endpoint')
+        facts = fleet.facts()
+        choice = await router.admit(facts, NONE)
+        assert choice.ok.endpoint_id == endpoint
+        done = AttemptOutcome(endpoint, True, True, 10, 50, 5)
+        router.attempt_ended(facts, done)
+
+    fleet.do(work())
+
+
+@then('registry VM "{name}" knows no endpoint of its own')
+def knows_none(context: Context, name: str) -> None:
+    assert context.fleet.parts[name].registry.describe() == ()
+
+
+@then('registry VM "{name}" sends a request to region "{region}"')
+def sends_away(context: Context, name: str, region: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+
+    def goes_there() -> bool:
+        choice = router.choose_region(fleet.facts())
+        return choice.is_ok() and choice.ok.region == region
+
+    fleet.do(fleet.until(goes_there, 'the summary arrives'))
+    choice = router.choose_region(fleet.facts()).ok
+    targets = {
+        vm.vm_id: vm.forward_address
+        for vm in fleet.membership.vms
+        if vm.region == region
+    }
+    assert targets[choice.vm_id] == choice.forward_address
+
+
+@then('registry VM "{name}" refuses a forwarded request as not run')
+def refuses_forwarded(context: Context, name: str) -> None:
+    fleet = context.fleet
+    choice = fleet.parts[name].router.choose_region(fleet.facts(hop=1))
+    assert choice.error.code is RefusalCode.NO_ENDPOINT
+    assert choice.error.executed is Executed.NO
+
+
+@when('registry endpoint "{endpoint}" says to "{name}" that it leaves')
+def leaves(context: Context, endpoint: str, name: str) -> None:
+    context.beating.cancel()
+    registry = context.fleet.parts[name].registry
+    assert registry.heartbeat(beat(endpoint, 1 << 30, leaving=True)).is_ok()
+
+
+@then('registry VM "{name}" refuses a request as not run')
+def refuses(context: Context, name: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+
+    async def work() -> None:
+        await fleet.until(
+            lambda: router.choose_region(fleet.facts()).is_error(),
+            'the endpoint is known to leave',
+        )
+        refused = await router.admit(fleet.facts(), NONE)
+        assert refused.error.code is RefusalCode.NO_ENDPOINT
+        assert refused.error.executed is Executed.NO
+
+    fleet.do(work())
+
+
+@then(
+    'registry VM "{name}" queues requests beyond the room and places them '
+    'in turn'
+)
+def queues(context: Context, name: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+
+    async def work() -> None:
+        requests = [fleet.facts() for _index in range(6)]
+        tasks = [
+            asyncio.ensure_future(router.admit(facts, NONE))
+            for facts in requests
+        ]
+        for index, facts in enumerate(requests):
+            choice = await asyncio.wait_for(tasks[index], PATIENCE_S)
+            assert choice.ok.endpoint_id == 'e'
+            running = sum(task.done() for task in tasks) - index
+            assert running <= 2, running
+            done = AttemptOutcome('e', True, True, 10, 50, 5)
+            router.attempt_ended(facts, done)
+
+    fleet.do(work())
+
+
+@then('registry VM "{name}" forgets a waiting request whose caller has gone')
+def forgets(context: Context, name: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+
+    async def work() -> None:
+        held = [fleet.facts(), fleet.facts()]
+        for facts in held:
+            assert (await router.admit(facts, NONE)).is_ok()
+        gone = asyncio.ensure_future(router.admit(fleet.facts(), NONE))
+        await asyncio.sleep(0)
+        gone.cancel()
+        await asyncio.gather(gone, return_exceptions=True)
+        for facts in held:
+            router.attempt_cancelled(facts, 'e')
+        (known,) = fleet.parts[name].registry.describe()
+        assert known['own_requests'] == 0, known
+
+    fleet.do(work())
+
+
+@then('registry VM "{name}" explains a request in plain sentences')
+def explains(context: Context, name: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+    facts = fleet.facts()
+    router.choose_region(facts)
+    choice = fleet.do(router.admit(facts, NONE)).ok
+    router.attempt_cancelled(facts, choice.endpoint_id)
+    sentences = router.explain(facts.request_id)
+    assert 'Region a was chosen' in sentences[0], sentences
+    assert 'Endpoint e was chosen' in sentences[1], sentences
+
+
+@then(
+    'registry VM "{name}" retries an unsent attempt but not a booking that '
+    'was sent'
+)
+def retries(context: Context, name: str) -> None:
+    fleet = context.fleet
+    router = fleet.parts[name].router
+    booking = fleet.facts(repeatable=False)
+    labels = {'reason': 'not_sent'}
+    before = RETRIES.values.get(labels, 0)
+    unsent = AttemptOutcome('e', False, False)
+    assert router.may_retry(booking, unsent, 1).is_ok()
+    assert RETRIES.get(labels) == before + 1
+    sent = AttemptOutcome('e', False, True)
+    refused = router.may_retry(booking, sent, 1)
+    assert refused.error.executed is Executed.UNKNOWN
+
+
+@then('registry VM "{name}" refuses an endpoint of another region')
+def refuses_region(context: Context, name: str) -> None:
+    registry = context.fleet.parts[name].registry
+    refused = registry.announce(announcement('e', 'b'))
+    assert refused.error.code is RefusalCode.INVALID_REQUEST
+
+
+@then('registry VM "{name}" refuses an endpoint of an older incarnation')
+def refuses_older(context: Context, name: str) -> None:
+    registry = context.fleet.parts[name].registry
+    assert registry.announce(announcement('e')).is_ok()
+    assert registry.announce(announcement('e', incarnation=4)).is_error()
+
+
+@then('registry VM "{name}" asks an unknown endpoint to announce itself')
+def asks_unknown(context: Context, name: str) -> None:
+    registry = context.fleet.parts[name].registry
+    refused = registry.heartbeat(beat('unknown', 1))
+    assert refused.error.code is RefusalCode.SERVICE_UNKNOWN
--- a/packages/daemon/src/baobabwharf_daemon/registry.py
+++ b/packages/daemon/src/baobabwharf_daemon/registry.py
@@ -1,5 +1,6 @@
 """Accept endpoints and exchange them with the VMs of the own region."""
 
+import asyncio
 from typing import Any, final
 
 import msgspec
@@ -153,11 +154,21 @@
         self._pending = []
         peers = self._peers()
         self._synced.intersection_update(peer.vm_id for peer in peers)
-        for peer in peers:
-            want_all = peer.vm_id not in self._synced
-            if pending or want_all:
-                request = self._request(pending, want_all, now_ms)
-                await self._exchange(peer, request)
+        # A silent peer must not delay the heartbeats for the others.
+        await asyncio.gather(
+            *(self._sync_with(peer, pending, now_ms) for peer in peers)
+        )
+
+    async def _sync_with(
+        self,
+        peer: VmRecord,
+        pending: list[tuple[int, Announcement | Heartbeat]],
+        now_ms: int,
+    ) -> None:
+        want_all = peer.vm_id not in self._synced
+        if pending or want_all:
+            request = self._request(pending, want_all, now_ms)
+            await self._exchange(peer, request)
 
     def _peers(self) -> list[VmRecord]:
         return [
