Routing: make the model's order of failures repeatable

Cause: a dying endpoint failed its requests in the order of object addresses, so that figures after a loss differed between equal runs.

--- a/features/steps/routing_runs.py
+++ b/features/steps/routing_runs.py
@@ -26,6 +26,7 @@
     RegionSummary,
     summarise,
 )
+from baobabwharf_testkit.policy_bench import Run, execute
 from behave import then, when
 from behave.runner import Context
 
@@ -516,3 +517,12 @@
 @then('routing ignores ejection when most endpoints fail')
 def panics(context: Context) -> None:
     assert EjectionSubject(2).usable(200) == ['e0', 'e1', 'e2']
+
+
+@then('the routing comparison gives equal figures twice and spills a part')
+def same_figures(context: Context) -> None:
+    run = Run('samiti', 'half_lost', 'ours', 1)
+    figures = execute(run)
+    print(f'routing comparison: {figures}')
+    assert figures == execute(run)
+    assert 0 < figures['away'] < 0.5, figures
--- a/features/unit/routing_runs.feature
+++ b/features/unit/routing_runs.feature
@@ -38,3 +38,6 @@
   Scenario: An endpoint that fails is ejected, returns slowly, and panic ends it
     Then routing ejects one failing endpoint of three
     And routing ignores ejection when most endpoints fail
+
+  Scenario: The comparison of policies gives the same figures for a seed
+    Then the routing comparison gives equal figures twice and spills a part
--- a/packages/testkit/src/baobabwharf_testkit/policies.py
+++ b/packages/testkit/src/baobabwharf_testkit/policies.py
@@ -1,6 +1,5 @@
-"""Drive the decisions and the baselines over the model."""
+"""Drive the routing decisions over the model, as the daemon does."""
 
-import abc
 import random
 
 import msgspec
@@ -11,213 +10,29 @@
 from baobabwharf_decisions.away import LinkMeter
 from baobabwharf_decisions.choice import Candidate
 from baobabwharf_decisions.directory import Directory
-from baobabwharf_decisions.endpoints import LEASE_MS
 from baobabwharf_decisions.lanes import LaneSet
 from baobabwharf_decisions.retries import RetryBudget, decide_retry
 from baobabwharf_decisions.routing import Peers, RegionRouter
-from baobabwharf_decisions.summaries import RecentPrefixes, summarise
+from baobabwharf_decisions.summaries import (
+    RecentPrefixes,
+    RegionSummary,
+    summarise,
+)
 
-from baobabwharf_testkit.policy_load import Deployment, Request
-from baobabwharf_testkit.policy_model import (
-    EndpointModel,
-    Job,
-    LinkModel,
-    Simulation,
+from baobabwharf_testkit.policy_load import Request
+from baobabwharf_testkit.policy_world import (
+    CONNECT_TIMEOUT_MS,
+    VMS_PER_REGION,
+    Policy,
+    World,
+    make_job,
 )
 
-VMS_PER_REGION = 2
-_CONNECT_TIMEOUT_MS = 1000
-_BYTES_PER_TOKEN = 200
-_MAX_ATTEMPTS = 3
-_RETRY_MS = 20
 _SUMMARY_MS = 500
 _TICK_MS = 50
 _SLOW_TICK_MS = 500
 
 
-class World(msgspec.Struct):
-    """Hold the parts of the model that all policies share."""
-
-    sim: Simulation
-    deployment: Deployment
-    endpoints: dict[EndpointId, EndpointModel]
-    links: dict[tuple[RegionId, RegionId], LinkModel]
-    rng: random.Random
-    # Regions that the VMs believe cut off; it follows the cut after 1.5 s.
-    believed_cut: set[RegionId]
-
-    def reachable(self, one: RegionId, other: RegionId) -> bool:
-        """Tell what the VMs believe of the path between two regions."""
-        if one == other:
-            return True
-        return not self.believed_cut.intersection((one, other))
-
-    def zone_ms(self) -> float:
-        """Return a delay inside a region, one way."""
-        return self.rng.uniform(0.5, self.deployment.zone_delay_ms)
-
-
-class Policy(abc.ABC):
-    """Serve requests that arrive at entry VMs."""
-
-    def __init__(self, world: World) -> None:
-        self.world = world
-
-    @abc.abstractmethod
-    def arrive(self, request: Request) -> None:
-        """Take a request at an entry VM of its region."""
-
-    @abc.abstractmethod
-    def on_beat(self, beat: Heartbeat) -> None:
-        """Take a heartbeat of an endpoint."""
-
-    def first(self, request: Request, serving: RegionId) -> None:
-        """Carry the first token back to the caller."""
-        self._back(request, serving, 1, self._set_first, request)
-
-    def done(self, request: Request, serving: RegionId) -> None:
-        """Carry the end of the answer back to the caller."""
-        size = 1000 + request.output_tokens * _BYTES_PER_TOKEN
-        self._back(request, serving, size, self._set_done, request)
-
-    def _back(self, request, serving, size, action, *more):  # type: ignore[no-untyped-def]
-        if serving == request.region:
-            self.world.sim.after(self.world.zone_ms() + 1, action, *more)
-            return
-        self.world.links[serving, request.region].send(size, action, *more)
-
-    def _set_first(self, request: Request) -> None:
-        if request.first_ms is None:
-            request.first_ms = self.world.sim.now_ms
-
-    def _set_done(self, request: Request) -> None:
-        request.done_ms = self.world.sim.now_ms
-
-
-class Baseline(Policy):
-    """Let the entry VM call any endpoint of the allowed regions."""
-
-    def __init__(self, world: World) -> None:
-        super().__init__(world)
-        self._alive_ms: dict[EndpointId, float] = {}
-        self._outstanding: dict[tuple[int, EndpointId], int] = {}
-
-    def on_beat(self, beat: Heartbeat) -> None:
-        """Renew the lease of an endpoint."""
-        self._alive_ms[beat.endpoint_id] = self.world.sim.now_ms
-
-    def arrive(self, request: Request) -> None:
-        """Choose an endpoint and send the request."""
-        vm = self.world.rng.randrange(VMS_PER_REGION)
-        self._attempt(request, vm, frozenset())
-
-    @abc.abstractmethod
-    def pick(
-        self, request: Request, vm: int, names: list[EndpointId]
-    ) -> EndpointId:
-        """Choose one of the endpoints."""
-
-    def outstanding(self, request: Request, vm: int, name: EndpointId) -> int:
-        """Return the running requests of a VM at an endpoint."""
-        key = self._vm_key(request, vm)
-        return self._outstanding.get((key, name), 0)
-
-    def _vm_key(self, request: Request, vm: int) -> int:
-        regions = self.world.deployment.regions
-        return regions.index(request.region) * VMS_PER_REGION + vm
-
-    def _attempt(
-        self, request: Request, vm: int, excluded: frozenset[EndpointId]
-    ) -> None:
-        now_ms = self.world.sim.now_ms
-        names = self._names(request, excluded)
-        if not names or now_ms >= request.deadline_at_ms:
-            request.refused = True
-            return
-        name = self.pick(request, vm, names)
-        endpoint = self.world.endpoints[name]
-        key = (self._vm_key(request, vm), name)
-        self._outstanding[key] = self._outstanding.get(key, 0) + 1
-        request.attempts += 1
-
-        def end(succeeded: bool) -> None:
-            self._outstanding[key] -= 1
-            if succeeded:
-                self.done(request, endpoint.region)
-            elif request.attempts < _MAX_ATTEMPTS:
-                self.world.sim.after(
-                    _RETRY_MS, self._attempt, request, vm, excluded | {name}
-                )
-            else:
-                request.refused = True
-
-        job = _job(request, lambda: self.first(request, endpoint.region), end)
-        if endpoint.region == request.region:
-            self.world.sim.after(self.world.zone_ms(), endpoint.submit, job)
-            return
-        link = self.world.links[request.region, endpoint.region]
-        if link.send(request.facts.body_bytes, endpoint.submit, job):
-            request.crossed = True
-        else:
-            self.world.sim.after(_CONNECT_TIMEOUT_MS, end, False)
-
-    def _names(
-        self, request: Request, excluded: frozenset[EndpointId]
-    ) -> list[EndpointId]:
-        now_ms = self.world.sim.now_ms
-        return [
-            name
-            for name, alive_ms in self._alive_ms.items()
-            if now_ms - alive_ms < LEASE_MS
-            and name not in excluded
-            and self._may_serve(request, self.world.endpoints[name])
-        ]
-
-    def _may_serve(self, request: Request, endpoint: EndpointModel) -> bool:
-        residency = request.facts.residency
-        if endpoint.announcement.service != request.facts.service:
-            return False
-        if residency and endpoint.region not in residency:
-            return False
-        return self.world.reachable(request.region, endpoint.region)
-
-
-class RandomPolicy(Baseline):
-    """Choose at random."""
-
-    def pick(
-        self, request: Request, vm: int, names: list[EndpointId]
-    ) -> EndpointId:
-        """Choose one of the endpoints."""
-        return self.world.rng.choice(names)
-
-
-class LeastOutstanding(Baseline):
-    """Choose the endpoint with the fewest own running requests."""
-
-    def pick(
-        self, request: Request, vm: int, names: list[EndpointId]
-    ) -> EndpointId:
-        """Choose one of the endpoints."""
-        self.world.rng.shuffle(names)
-        return min(names, key=lambda name: self.outstanding(request, vm, name))
-
-
-class HomeLeastOutstanding(LeastOutstanding):
-    """Choose in the own region while it has any endpoint."""
-
-    def pick(
-        self, request: Request, vm: int, names: list[EndpointId]
-    ) -> EndpointId:
-        """Choose one of the endpoints."""
-        home = [
-            name
-            for name in names
-            if self.world.endpoints[name].region == request.region
-        ]
-        return super().pick(request, vm, home or names)
-
-
 class _Vm:
     """Hold the decisions of one VM."""
 
@@ -313,7 +128,7 @@
         if sent:
             request.crossed = True
         else:
-            self.world.sim.after(_CONNECT_TIMEOUT_MS, self._route, vm, request)
+            self.world.sim.after(CONNECT_TIMEOUT_MS, self._route, vm, request)
 
     def _admit(
         self,
@@ -366,7 +181,7 @@
             )
             self._ended(vm, request, facts, outcome, attempt)
 
-        job = _job(request, first, end)
+        job = make_job(request, first, end)
         endpoint = self.world.endpoints[name]
         self.world.sim.after(self.world.zone_ms(), endpoint.submit, job)
 
@@ -455,19 +270,8 @@
                         300, self._deliver, other, summary
                     )
 
-    def _deliver(self, vm: _Vm, summary) -> None:  # type: ignore[no-untyped-def]
+    def _deliver(self, vm: _Vm, summary: RegionSummary) -> None:
         vm.regions.on_summary(summary, self.world.sim.clock_ms)
 
     def _vms_of(self, region: RegionId) -> list[_Vm]:
         return [vm for vm in self.vms.values() if vm.region == region]
-
-
-def _job(request: Request, first, end) -> Job:  # type: ignore[no-untyped-def]
-    return Job(
-        request.facts,
-        request.output_tokens,
-        request.service_ms,
-        request.deadline_at_ms,
-        first,
-        end,
-    )
--- a/packages/testkit/src/baobabwharf_testkit/policy_bench.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_bench.py
@@ -11,13 +11,11 @@
 import msgspec
 from baobabwharf_core.ids import RegionId
 
-from baobabwharf_testkit.policies import (
+from baobabwharf_testkit.policies import OurPolicy
+from baobabwharf_testkit.policy_baselines import (
     HomeLeastOutstanding,
     LeastOutstanding,
-    OurPolicy,
-    Policy,
     RandomPolicy,
-    World,
 )
 from baobabwharf_testkit.policy_load import (
     DURATION_MS,
@@ -36,6 +34,7 @@
     LinkModel,
     Simulation,
 )
+from baobabwharf_testkit.policy_world import Policy, World
 
 POLICIES: dict[str, type[Policy]] = {
     'ours': OurPolicy,
--- a/packages/testkit/src/baobabwharf_testkit/policy_model.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_model.py
@@ -93,7 +93,7 @@
         self._active_from_ms: float | None = None
         self._sim = sim
         self._rng = rng
-        self._running: set[Job] = set()
+        self._running: dict[Job, None] = {}
         self._queue: deque[Job] = deque()
         self._prefill_free_ms = 0.0
         self._cache: OrderedDict[int, None] = OrderedDict()
@@ -160,7 +160,7 @@
         self._sim.every(_BEAT_MS, report)
 
     def _start(self, job: Job) -> None:
-        self._running.add(job)
+        self._running[job] = None
         if self._active_from_ms is None:
             self._active_from_ms = self._sim.now_ms
         now_ms = self._sim.now_ms
@@ -188,7 +188,7 @@
     def _finish(self, job: Job) -> None:
         if job.ended:
             return
-        self._running.discard(job)
+        self._running.pop(job)
         self._end(job, True)
         while self._queue and len(self._running) < self.announcement.slots:
             waiting = self._queue.popleft()
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/policy_world.py
@@ -0,0 +1,102 @@
+"""Hold what all compared policies share."""
+
+import abc
+import random
+from collections.abc import Callable
+
+import msgspec
+from baobabwharf_core.ids import EndpointId, RegionId
+from baobabwharf_core.platform import Heartbeat
+
+from baobabwharf_testkit.policy_load import Deployment, Request
+from baobabwharf_testkit.policy_model import (
+    EndpointModel,
+    Job,
+    LinkModel,
+    Simulation,
+)
+
+VMS_PER_REGION = 2
+CONNECT_TIMEOUT_MS = 1000
+_BYTES_PER_TOKEN = 200
+
+
+class World(msgspec.Struct):
+    """Hold the parts of the model that all policies share."""
+
+    sim: Simulation
+    deployment: Deployment
+    endpoints: dict[EndpointId, EndpointModel]
+    links: dict[tuple[RegionId, RegionId], LinkModel]
+    rng: random.Random
+    # Regions that the VMs believe cut off; it follows the cut after 1.5 s.
+    believed_cut: set[RegionId]
+
+    def reachable(self, one: RegionId, other: RegionId) -> bool:
+        """Tell what the VMs believe of the path between two regions."""
+        if one == other:
+            return True
+        return not self.believed_cut.intersection((one, other))
+
+    def zone_ms(self) -> float:
+        """Return a delay inside a region, one way."""
+        return self.rng.uniform(0.5, self.deployment.zone_delay_ms)
+
+
+class Policy(abc.ABC):
+    """Serve requests that arrive at entry VMs."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    @abc.abstractmethod
+    def arrive(self, request: Request) -> None:
+        """Take a request at an entry VM of its region."""
+
+    @abc.abstractmethod
+    def on_beat(self, beat: Heartbeat) -> None:
+        """Take a heartbeat of an endpoint."""
+
+    def first(self, request: Request, serving: RegionId) -> None:
+        """Carry the first token back to the caller."""
+        self._back(request, serving, 1, self._set_first)
+
+    def done(self, request: Request, serving: RegionId) -> None:
+        """Carry the end of the answer back to the caller."""
+        size = 1000 + request.output_tokens * _BYTES_PER_TOKEN
+        self._back(request, serving, size, self._set_done)
+
+    def _back(
+        self,
+        request: Request,
+        serving: RegionId,
+        size: int,
+        action: Callable[[Request], None],
+    ) -> None:
+        if serving == request.region:
+            self.world.sim.after(self.world.zone_ms() + 1, action, request)
+            return
+        self.world.links[serving, request.region].send(size, action, request)
+
+    def _set_first(self, request: Request) -> None:
+        if request.first_ms is None:
+            request.first_ms = self.world.sim.now_ms
+
+    def _set_done(self, request: Request) -> None:
+        request.done_ms = self.world.sim.now_ms
+
+
+def make_job(
+    request: Request,
+    first: Callable[[], None],
+    end: Callable[[bool], None],
+) -> Job:
+    """Return the job of a request at an endpoint."""
+    return Job(
+        request.facts,
+        request.output_tokens,
+        request.service_ms,
+        request.deadline_at_ms,
+        first,
+        end,
+    )
