Routing: estimate the home region from two endpoints, time the whole path

Cause: choosing the region rated ten endpoints and choosing the endpoint rated ten more; both together were not measured.

--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -9,7 +9,12 @@
 from expression import Error, Result
 
 from baobabwharf_decisions.admission import Admission, Capacity, Ticket, cost
-from baobabwharf_decisions.choice import Candidate, EndpointChooser
+from baobabwharf_decisions.choice import (
+    ESTIMATE_CANDIDATES,
+    RATED_CANDIDATES,
+    Candidate,
+    EndpointChooser,
+)
 from baobabwharf_decisions.directory import Directory, GroupKey
 from baobabwharf_decisions.groups import EndpointGroup
 from baobabwharf_decisions.routing import HomeView
@@ -117,7 +122,9 @@
         wait_ms = expected_wait_ms(
             group.requests + ahead, group.slots, group.service_ms
         )
-        candidate = self._choose(lane, facts, frozenset(), now_ms)
+        candidate = self._choose(
+            lane, facts, frozenset(), now_ms, ESTIMATE_CANDIDATES
+        )
         if candidate is None:
             complete_ms = wait_ms + group.service_ms
             return HomeView(True, wait_ms, complete_ms, lane.urgent_ms)
@@ -149,10 +156,13 @@
         facts: RequestFacts,
         excluded: frozenset[EndpointId],
         now_ms: int,
+        limit: int = RATED_CANDIDATES,
     ) -> Candidate | None:
         urgent = lane.most_urgent(facts.first_token_ms)
         reserve_share = 0.0 if urgent else RESERVE_SHARE
-        return self._chooser.choose(facts, excluded, reserve_share, now_ms)
+        return self._chooser.choose(
+            facts, excluded, reserve_share, now_ms, limit
+        )
 
     def _pump_lane(
         self, lane: Admission, now_ms: int
--- a/packages/testkit/src/baobabwharf_testkit/microbench.py
+++ b/packages/testkit/src/baobabwharf_testkit/microbench.py
@@ -29,6 +29,7 @@
 from baobabwharf_decisions.admission import Admission, Capacity, Ticket
 from baobabwharf_decisions.choice import EndpointChooser
 from baobabwharf_decisions.directory import Directory
+from baobabwharf_decisions.lanes import LaneSet
 from baobabwharf_decisions.routing import HomeView, Peers, RegionRouter
 from baobabwharf_decisions.summaries import (
     GroupSummary,
@@ -92,13 +93,22 @@
         directory.heartbeat(Heartbeat(name, incarnation, 1, load, events), 0)
 
 
-def timed(action: Callable[[int], Any], rounds: int = _ROUNDS) -> list[float]:
-    """Return the time of each round in microseconds, sorted."""
+def timed(
+    action: Callable[[int], Any],
+    rounds: int = _ROUNDS,
+    after: Callable[[int], None] | None = None,
+) -> list[float]:
+    """Return the time of each round in microseconds, sorted.
+
+    What follows a round is not counted.
+    """
     spans = []
     for index in range(rounds):
         began = time.perf_counter_ns()
         action(index)
         spans.append((time.perf_counter_ns() - began) / _NS_PER_US)
+        if after is not None:
+            after(index)
     return sorted(spans)
 
 
@@ -155,15 +165,46 @@
     report('summary', count, timed(sum_up, 50))
 
 
-def bench_regions(count: int) -> None:
-    """Measure the choice of a region under pressure."""
-    rng = random.Random(_SEED)
+def region_router(count: int, rng: random.Random) -> tuple[RegionRouter, Peers]:
+    """Return a router that knows some regions with room."""
     router = RegionRouter(_REGION, {}, rng)
     names = [RegionId(f'r{index}') for index in range(count)]
     for name in names:
         group = GroupSummary(_SERVICE, _MODEL, 10_000, 5000, 5000.0, 0.25)
         router.on_summary(RegionSummary(name, 1, 3, (group,)), 0)
-    peers = Peers(dict.fromkeys(names, 3), _REGION)
+    return router, Peers(dict.fromkeys(names, 3), _REGION)
+
+
+def bench_path(count: int) -> None:
+    """Measure the whole path at an entry VM: region, room and endpoint."""
+    rng = random.Random(_SEED)
+    directory = Directory(rng)
+    fill(directory, count, rng)
+    lanes = LaneSet(_REGION, directory, rng)
+    router, peers = region_router(9, rng)
+    requests = [facts_of(number) for number in range(_ROUNDS)]
+    held: list[EndpointId] = []
+
+    def route(index: int) -> None:
+        facts = requests[index]
+        home = lanes.home_view(facts, 10)
+        router.choose(facts, home, peers, 1.0, 10)
+        candidate = lanes.place_now(facts, frozenset(), 10)
+        if candidate is not None:
+            held.append(candidate.endpoint.endpoint_id)
+
+    def release(index: int) -> None:
+        if len(held) > count:
+            directory.ended(
+                AttemptOutcome(held.pop(0), True, True, 300, 5000, 200), 10
+            )
+
+    report('routing_path', count, timed(route, after=release))
+
+
+def bench_regions(count: int) -> None:
+    """Measure the choice of a region under pressure."""
+    router, peers = region_router(count, random.Random(_SEED))
     home = HomeView(True, 2000.0, 9000.0)
     requests = [facts_of(index) for index in range(_ROUNDS)]
 
@@ -203,6 +244,7 @@
     """Run all measurements over two decades of sizes."""
     for count in _ENDPOINTS:
         bench_endpoints(count)
+        bench_path(count)
     for count in (3, 9, 30):
         bench_regions(count)
     for count in _CUSTOMERS:
