--- a/packages/decisions/src/baobabwharf_decisions/choice.py
+++ b/packages/decisions/src/baobabwharf_decisions/choice.py
@@ -13,7 +13,7 @@
 from baobabwharf_decisions.endpoints import EndpointState, Expectation
 
 # Exact expectations are computed for this many of the best ranked endpoints.
-RATED_CANDIDATES = 10
+RATED_CANDIDATES = 7
 _SCAN_LIMIT = 32
 # The choice of a region needs an estimate, not the very best endpoint.
 ESTIMATE_CANDIDATES = 2
