Limits: measure the limits against two baselines in a simulated fleet

Change: a simulated fleet with drifting clocks and a faulty network, an exact audit over all windows, deliberate faults, and the benchmark; holders are drained evenly, spent chunks are reported, and a refund after a lowered cap no longer breaks the cap (found by the audit run).

--- a/packages/daemon/src/baobabwharf_daemon/lending.py
+++ b/packages/daemon/src/baobabwharf_daemon/lending.py
@@ -56,11 +56,11 @@
 
     async def _lend(self, request: BorrowRequest) -> BorrowReply:
         self._advance()
-        return self._core.lend(request)
+        return self._core.lender.borrow(request, self._core.now_ms)
 
     async def _take_back(self, request: ReturnRequest) -> ReturnReply:
         self._advance()
-        self._core.take_back(request)
+        self._core.lender.take_back(request, self._core.now_ms)
         return ReturnReply()
 
 
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/leases.py
@@ -0,0 +1,162 @@
+"""Decide who may hold a lease, and for how long each side may believe it."""
+
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import FencingToken, VmId
+from baobabwharf_core.invariants import check_invariant
+from baobabwharf_core.statechart import load_chart
+from expression import Error, Ok, Result
+
+_CHART = load_chart('lease')
+_FREE = 'free'
+_HELD = 'held'
+_WAITING = 'waiting'
+
+
+def surely_ended_ms(lifetime_ms: int) -> int:
+    """Return how long a granter waits, by its own clock, for the end.
+
+    The holder's clock may be 1% slow and the granter's 1% fast; 1.01 / 0.99
+    is below 1.03, and 2 ms cover both clocks showing whole ms.
+    """
+    return lifetime_ms * 103 // 100 + 2
+
+
+class LeaseGrant(msgspec.Struct, frozen=True):
+    """Tell a holder its fencing token and the lifetime in ms."""
+
+    holder: VmId
+    token: FencingToken
+    lifetime_ms: int
+
+
+class LeaseBusy(msgspec.Struct, frozen=True):
+    """Tell who has the lease and when it may be asked for again."""
+
+    holder: VmId
+    retry_after_ms: int
+
+
+@final
+class LeaseGranter:
+    """Grant one lease; tokens grow with each new holder."""
+
+    def __init__(
+        self,
+        lifetime_ms: int,
+        last_token: FencingToken,
+        start_ms: int,
+        previous: VmId | None,
+    ) -> None:
+        self._lifetime_ms = lifetime_ms
+        self._token = last_token
+        self._holder = previous
+        self._state = _CHART.initial
+        self._expires_ms = start_ms
+        self._ended_ms = start_ms
+        if previous is not None:
+            # A granter that starts anew cannot know when it was renewed.
+            self._state = _CHART.step(self._state, 'grant')
+            self._extend(start_ms)
+
+    @property
+    def state(self) -> str:
+        """Return the state of the lease chart."""
+        return self._state
+
+    def advance(self, now_ms: int) -> None:
+        """Let the lease expire, and free it once it has surely ended."""
+        if self._state == _HELD and now_ms >= self._expires_ms:
+            self._state = _CHART.step(self._state, 'expire')
+        if self._state == _WAITING and now_ms >= self._ended_ms:
+            self._state = _CHART.step(self._state, 'surely_ended')
+            self._holder = None
+
+    def ask(self, vm_id: VmId, now_ms: int) -> Result[LeaseGrant, LeaseBusy]:
+        """Grant or renew the lease, unless another VM may still act on it."""
+        self.advance(now_ms)
+        if self._state == _HELD and self._holder == vm_id:
+            self._state = _CHART.step(self._state, 'renew')
+            return self._grant(now_ms)
+        if self._state != _FREE:
+            assert self._holder is not None
+            return Error(LeaseBusy(self._holder, self._ended_ms - now_ms))
+        self._state = _CHART.step(self._state, 'grant')
+        self._holder = vm_id
+        self._token = FencingToken(self._token + 1)
+        return self._grant(now_ms)
+
+    def release(self, vm_id: VmId, token: FencingToken) -> bool:
+        """Free the lease for the holder that gives it up."""
+        known = self._holder == vm_id and self._token == token
+        if known and self._state != _FREE:
+            self._state = _CHART.step(self._state, 'release')
+            self._holder = None
+        return known
+
+    def _grant(self, now_ms: int) -> Result[LeaseGrant, LeaseBusy]:
+        assert self._holder is not None
+        self._extend(now_ms)
+        return Ok(LeaseGrant(self._holder, self._token, self._lifetime_ms))
+
+    def _extend(self, now_ms: int) -> None:
+        self._expires_ms = now_ms + self._lifetime_ms
+        self._ended_ms = now_ms + surely_ended_ms(self._lifetime_ms)
+
+
+@final
+class LeaseHolder:
+    """Hold a lease as long as the own clock surely allows."""
+
+    def __init__(self, vm_id: VmId) -> None:
+        self._vm_id = vm_id
+        self._token: FencingToken | None = None
+        self._until_ms = 0
+        self._dropped_ms: int | None = None
+
+    def granted(self, grant: LeaseGrant, sent_ms: int) -> None:
+        """Take a grant; its lifetime counts from when it was asked for."""
+        check_invariant(
+            grant.holder == self._vm_id, 'A lease of another VM was taken.'
+        )
+        if self._token is not None and grant.token < self._token:
+            return
+        # A late answer must not revive a lease that was given up.
+        if self._dropped_ms is not None and sent_ms <= self._dropped_ms:
+            return
+        until_ms = sent_ms + grant.lifetime_ms
+        if grant.token == self._token:
+            until_ms = max(until_ms, self._until_ms)
+        self._token = grant.token
+        self._until_ms = until_ms
+
+    def token_to_act(
+        self, now_ms: int, action_bound_ms: int
+    ) -> FencingToken | None:
+        """Return the token if an action that takes so long ends in time.
+
+        Call it right before each command with a fresh clock reading, so that
+        a freeze in between is seen.
+        """
+        if self._token is None or now_ms + action_bound_ms >= self._until_ms:
+            return None
+        return self._token
+
+    def drop(self, now_ms: int) -> None:
+        """Give the lease up, on release or after a clock jump."""
+        self._until_ms = 0
+        self._dropped_ms = now_ms
+
+
+def may_take_over(
+    checks_fencing: bool, granted_ms: int, now_ms: int, lifetime_ms: int
+) -> bool:
+    """Tell whether a new owner may command an endpoint.
+
+    An endpoint that ignores fencing tokens would obey the old owner too, so
+    the old lease must have surely ended since it was last granted.
+    """
+    if checks_fencing:
+        return True
+    return now_ms >= granted_ms + surely_ended_ms(lifetime_ms)
--- a/packages/decisions/src/baobabwharf_decisions/limits/account.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/account.py
@@ -7,9 +7,9 @@
 from baobabwharf_core.ids import CustomerId, VmId
 
 # Demand is remembered about this long after traffic moves to another VM.
-_DEMAND_MEMORY_MS = 700
+_DEMAND_MEMORY_MS = 400
 # Covers the longest round trip between regions and two ticks.
-_PREFETCH_MS = 400
+_PREFETCH_MS = 500
 
 
 class Chunk(msgspec.Struct):
@@ -19,6 +19,8 @@
     lender: VmId
     expires_ms: int
     left: int
+    # What the lender was last told; a refund may not raise left above it.
+    reported: int
 
 
 class Waiter(msgspec.Struct):
@@ -83,7 +85,7 @@
         """Return the balance that covers demand until more can be here."""
         self._decay(now_ms)
         expected = self._demand * _PREFETCH_MS
-        if expected < self._largest // 16:
+        if expected < self._largest // 4:
             self._largest = 0
         return int(expected) + self._largest
 
@@ -91,12 +93,12 @@
         """Remember what a holder has left to lend."""
         self.estimates[holder] = Estimate(level, now_ms)
 
-    def drop_expired(self, now_ms: int) -> None:
-        """Forget chunks whose lifetime is over."""
-        if self.chunks and self.chunks[0].expires_ms <= now_ms:
-            self.chunks = [
-                chunk for chunk in self.chunks if chunk.expires_ms > now_ms
-            ]
+    def drop_expired(self, now_ms: int) -> list[Chunk]:
+        """Remove and return chunks whose lifetime is over."""
+        ended = []
+        while self.chunks and self.chunks[0].expires_ms <= now_ms:
+            ended.append(self.chunks.pop(0))
+        return ended
 
     def add_chunk(self, chunk: Chunk) -> None:
         """Add a chunk; the first to expire is spent first."""
--- a/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
@@ -6,7 +6,7 @@
 from baobabwharf_core.ids import CustomerId, VmId
 from baobabwharf_core.model import Customer
 
-from baobabwharf_decisions.limits.account import Account, Chunk, Estimate
+from baobabwharf_decisions.limits.account import Account, Chunk
 from baobabwharf_decisions.limits.messages import (
     Action,
     Ask,
@@ -22,8 +22,16 @@
 
 # A holder that gave no reply is not asked again for so long.
 _BACKOFF_MS = 500
+_KEPT_TOTALS = 4096
 # A holder with less than this share of the need is not worth a message.
 _WORTH_DIVISOR = 50
+# Holders asked at once at least, so that all are drained about equally and
+# none is full, where refill would be lost, while others are empty.
+_SPREAD = 3
+# A need above this part of what all holders have is large.
+_LARGE_PART = 16
+# Holders whose fullness differs by less than this step count as equal.
+_FULLNESS_STEPS = 8
 
 
 class _Sent(msgspec.Struct):
@@ -45,7 +53,7 @@
         self._returns: dict[VmId, list[Returned]] = {}
         self._silent_until: dict[VmId, int] = {}
         # Chunk to all that was returned of it; a resend repeats the total.
-        self._totals: dict[tuple[VmId, int], tuple[int, int]] = {}
+        self._totals: dict[tuple[VmId, int], int] = {}
 
     def plan(
         self,
@@ -55,21 +63,19 @@
         table: ShareTable,
         now_ms: int,
     ) -> None:
-        """Ask holders for an amount, those in this region first."""
-        here = table.region_of(self._vm_id)
-        holders = [
-            holder
-            for holder in table.holders(account.customer_id)
-            if self._may_ask(holder, now_ms)
-        ]
-        near = [vm for vm in holders if table.region_of(vm) == here]
-        far = [vm for vm in holders if table.region_of(vm) != here]
-        for group in (near, far):
-            have = {
-                vm: available(account, vm, table.share(vm, customer), now_ms)
-                for vm in group
-            }
-            need -= self._ask_group(account, have, need, now_ms)
+        """Ask the fullest holders, those in this region first if equal."""
+        ranked = self._rank(account, customer, table, now_ms)
+        # A large need is spread over all, so that none stays full meanwhile.
+        everything = sum(entry[-1] for entry in ranked)
+        spread = _SPREAD if need * _LARGE_PART < everything else len(ranked)
+        chosen: dict[VmId, int] = {}
+        for _fullness, _far, vm_id, lendable in ranked:
+            covered = sum(chosen.values()) >= need
+            if covered and len(chosen) >= spread:
+                break
+            if lendable > need // _WORTH_DIVISOR:
+                chosen[vm_id] = lendable
+        self._ask_all(account, chosen, need, now_ms)
 
     def expected(
         self,
@@ -101,7 +107,13 @@
         for ask, grant in zip(sent.asks, reply.grants, strict=True):
             chunk = None
             if grant.amount > 0 and expires_ms > now_ms:
-                chunk = Chunk(grant.chunk_id, sent.to, expires_ms, grant.amount)
+                chunk = Chunk(
+                    grant.chunk_id,
+                    sent.to,
+                    expires_ms,
+                    grant.amount,
+                    grant.amount,
+                )
             taken.append(
                 (ask.customer_id, chunk, sent.to, grant.level_left, ask.amount)
             )
@@ -115,18 +127,28 @@
         self._silent_until[sent.to] = now_ms + _BACKOFF_MS
         return sent.asks
 
-    def give_back(
-        self, customer_id: CustomerId, lender: VmId, chunk_id: int, amount: int
+    def end_chunk(self, customer_id: CustomerId, chunk: Chunk) -> None:
+        """Return what is left of a chunk that is not held any more."""
+        self.report(customer_id, chunk.lender, chunk.chunk_id, 0, chunk.left)
+
+    def report(
+        self,
+        customer_id: CustomerId,
+        lender: VmId,
+        chunk_id: int,
+        left: int,
+        refund: int,
     ) -> None:
-        """Return tokens of a chunk that is not held any more."""
+        """Tell a holder what may still be spent, and refund the rest."""
         key = (lender, chunk_id)
-        total = self._totals.get(key, (0, 0))[1] + amount
-        self._totals[key] = (self._last_number, total)
+        total = self._totals.pop(key, 0) + refund
+        self._totals[key] = total
+        # A total that restarts at zero only loses tokens.
+        if len(self._totals) > _KEPT_TOTALS:
+            self._totals.pop(next(iter(self._totals)))
         self._returns.setdefault(lender, []).append(
-            Returned(customer_id, chunk_id, total)
+            Returned(customer_id, chunk_id, left, total)
         )
-        if len(self._totals) > 4096:
-            del self._totals[next(iter(self._totals))]
 
     def forget(self) -> None:
         """Drop asks under way; their replies may be of any age."""
@@ -151,29 +173,41 @@
         self._returns.clear()
         return actions
 
+    def _rank(
+        self,
+        account: Account,
+        customer: Customer,
+        table: ShareTable,
+        now_ms: int,
+    ) -> list[tuple[int, bool, VmId, int]]:
+        here = table.region_of(self._vm_id)
+        ranked = []
+        for holder in table.holders(account.customer_id):
+            if not self._may_ask(holder, now_ms):
+                continue
+            share = table.share(holder, customer)
+            level = available(account, holder, share, now_ms)
+            fullness = level * _FULLNESS_STEPS // max(share.cap, 1)
+            far = table.region_of(holder) != here
+            ranked.append((-fullness, far, holder, level))
+        return sorted(ranked)
+
     def _may_ask(self, holder: VmId, now_ms: int) -> bool:
         if holder == self._vm_id:
             return False
         return self._silent_until.get(holder, now_ms) <= now_ms
 
-    def _ask_group(
-        self, account: Account, have: dict[VmId, int], need: int, now_ms: int
-    ) -> int:
-        total = sum(have.values())
-        if need <= 0 or total <= 0:
-            return 0
+    def _ask_all(
+        self, account: Account, chosen: dict[VmId, int], need: int, now_ms: int
+    ) -> None:
+        total = sum(chosen.values())
         wanted = min(need, total)
-        asked = 0
-        for holder, level in have.items():
+        for holder, level in chosen.items():
             amount = -(-wanted * level // total)
-            if amount <= need // _WORTH_DIVISOR:
-                continue
             ask = Ask(account.customer_id, amount)
             self._asks.setdefault(holder, []).append(ask)
             account.asked += amount
-            account.estimates[holder] = Estimate(level - amount, now_ms)
-            asked += amount
-        return asked
+            account.learn_level(holder, level - amount, now_ms)
 
 
 def available(account: Account, holder: VmId, share: Share, now_ms: int) -> int:
--- a/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
@@ -3,9 +3,18 @@
 from collections import OrderedDict
 from typing import final
 
+import msgspec
 from baobabwharf_core.invariants import check_invariant
 
 
+class _Lent(msgspec.Struct):
+    """Hold what a borrower may still spend, and what it gave back."""
+
+    expires_ms: int
+    left: int
+    returned: int = 0
+
+
 @final
 class HolderBucket:
     """Hold level, lent chunks and what may still be given back.
@@ -35,8 +44,7 @@
         self._level = 0
         self._lent = 0
         self._refundable = 0
-        # Chunk id to (expiry in ms, amount).
-        self._chunks: dict[int, tuple[int, int]] = {}
+        self._chunks: dict[int, _Lent] = {}
         # Entry id to (amount left, amount returned so far).
         self._entries: OrderedDict[int, tuple[int, int]] = OrderedDict()
         self.share_key: object = None
@@ -101,19 +109,27 @@
         """Move tokens into a chunk."""
         self._level -= amount
         self._lent += amount
-        self._chunks[chunk_id] = (expires_ms, amount)
+        self._chunks[chunk_id] = _Lent(expires_ms, amount)
         self._check()
 
-    def take_back(self, chunk_id: int, returned: int) -> None:
-        """Take all that was returned of a chunk; the borrower ends it."""
-        if chunk_id in self._chunks:
-            self._end_chunk(chunk_id)
+    def take_back(self, chunk_id: int, left: int, returned: int) -> None:
+        """Take what a borrower may still spend and all that it gave back.
+
+        Both only move one way, so old and repeated messages change nothing.
+        """
+        chunk = self._chunks.get(chunk_id)
+        if chunk is not None and left < chunk.left:
+            self._shrink_chunk(chunk_id, chunk, left)
+            # After a lowered cap, lent tokens may exceed it.
+            self._forfeit()
         entry = self._entries.get(chunk_id)
         if entry is None:
             return
-        left, already = entry
-        refund = min(max(0, returned - already), left)
-        self._entries[chunk_id] = (left - refund, max(already, returned))
+        refundable, already = entry
+        refund = min(max(0, returned - already), refundable)
+        self._entries[chunk_id] = (refundable - refund, max(already, returned))
+        if chunk is not None:
+            chunk.returned = max(already, returned)
         self._refundable -= refund
         self._level += refund
         self._check()
@@ -122,20 +138,24 @@
         if not self._chunks:
             return
         ended = [
-            chunk_id
-            for chunk_id, (expires_ms, _amount) in self._chunks.items()
-            if expires_ms <= now_ms
+            (chunk_id, chunk)
+            for chunk_id, chunk in self._chunks.items()
+            if chunk.expires_ms <= now_ms
         ]
-        for chunk_id in ended:
-            self._end_chunk(chunk_id)
+        for chunk_id, chunk in ended:
+            self._shrink_chunk(chunk_id, chunk, 0)
 
-    def _end_chunk(self, chunk_id: int) -> None:
-        _expires_ms, amount = self._chunks.pop(chunk_id)
-        self._lent -= amount
-        self._add_entry(chunk_id, amount, 0)
+    def _shrink_chunk(self, chunk_id: int, chunk: _Lent, left: int) -> None:
+        spent = chunk.left - left
+        chunk.left = left
+        self._lent -= spent
+        self._add_entry(chunk_id, spent, chunk.returned)
+        if not left:
+            del self._chunks[chunk_id]
 
     def _add_entry(self, entry_id: int, amount: int, returned: int) -> None:
-        self._entries[entry_id] = (amount, returned)
+        known = self._entries.get(entry_id, (0, returned))
+        self._entries[entry_id] = (known[0] + amount, known[1])
         self._refundable += amount
 
     def _forfeit(self) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/limits/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/core.py
@@ -12,8 +12,6 @@
 from baobabwharf_decisions.limits.messages import (
     Action,
     BorrowReply,
-    BorrowRequest,
-    ReturnRequest,
 )
 from baobabwharf_decisions.limits.shares import ShareBook
 from baobabwharf_decisions.limits.units import MICRO
@@ -23,6 +21,8 @@
 # Ids of two processes of one VM differ, and fit in 63 bits.
 _NONCE_MASK = 0xFFFFFFFF
 _NONCE_SHIFT = 28
+# Holders cannot refill what may still be spent: tell them at this share.
+_REPORT_PERCENT = 60
 
 
 @final
@@ -54,6 +54,11 @@
         self._now_ms = now_ms
         self._last_ticket = 0
 
+    @property
+    def now_ms(self) -> int:
+        """Return the time of the last advance."""
+        return self._now_ms
+
     def advance(self, now_ms: int, wall_ms: int) -> None:
         """Bring time forward; after a freeze, chunks count as expired."""
         self._now_ms = now_ms
@@ -97,13 +102,19 @@
             self._room.refuse_late(account, self._now_ms)
         return ticket
 
+    def spendable(self, customer_id: CustomerId) -> int:
+        """Return the micro-tokens that requests here could take now."""
+        account = self._account(customer_id)
+        self._ledger.drop_expired(account, self._now_ms)
+        return self._ledger.balance(account, self._now_ms)
+
     def settle(self, reservation_id: int, used_tokens: int) -> None:
         """Give back what a reservation did not use."""
         customer_id = self._ledger.customer_of(reservation_id)
         if customer_id is None:
             return
         account = self._account(customer_id)
-        account.drop_expired(self._now_ms)
+        self._ledger.drop_expired(account, self._now_ms)
         used = used_tokens * MICRO
         self._ledger.settle(account, reservation_id, used, self._now_ms)
         self._room.serve(account, self._now_ms)
@@ -118,7 +129,7 @@
     def tick(self) -> None:
         """Serve, refuse, prefetch and give back; call every 50 ms or so."""
         for account in tuple(self._accounts.values()):
-            account.drop_expired(self._now_ms)
+            self._ledger.drop_expired(account, self._now_ms)
             self._room.serve(account, self._now_ms)
             self._room.refuse_late(account, self._now_ms)
             self._refill_account(account)
@@ -128,14 +139,6 @@
             if account.is_idle(self._now_ms):
                 del self._accounts[account.customer_id]
 
-    def lend(self, request: BorrowRequest) -> BorrowReply:
-        """Answer a borrower."""
-        return self.lender.borrow(request, self._now_ms)
-
-    def take_back(self, request: ReturnRequest) -> None:
-        """Take what a borrower gives back."""
-        self.lender.take_back(request, self._now_ms)
-
     def borrowed(self, reply: BorrowReply) -> None:
         """Take the answer of a holder."""
         for taken in self.borrower.take_reply(reply, self._now_ms):
@@ -145,7 +148,7 @@
             account.learn_level(holder, level_left, self._now_ms)
             if chunk is not None:
                 account.add_chunk(chunk)
-            account.drop_expired(self._now_ms)
+            self._ledger.drop_expired(account, self._now_ms)
             self._room.serve(account, self._now_ms)
             if account.waiters:
                 self._refill_account(account)
@@ -159,7 +162,7 @@
     def give_back_all(self) -> None:
         """End all chunks, since this VM stops."""
         for account in self._accounts.values():
-            account.drop_expired(self._now_ms)
+            self._ledger.drop_expired(account, self._now_ms)
             self._give_back(account, account.borrowed)
 
     def drain(self) -> list[Action]:
@@ -183,9 +186,13 @@
         customer = self._customers.get(account.customer_id)
         if customer is None:
             return
-        need = account.target(self._now_ms) + account.waiting
-        need -= self._ledger.balance(account, self._now_ms) + account.asked
-        if need > 0:
+        target = account.target(self._now_ms)
+        own = self._ledger.balance(account, self._now_ms) - account.borrowed
+        # The own bucket is for demand that comes faster than replies, so
+        # only half of it counts.
+        have = account.borrowed + account.asked + own // 2
+        need = target + account.waiting - have
+        if need > 0 and (account.waiters or need > target // 2):
             self.borrower.plan(
                 account, need, customer, self.book.newest, self._now_ms
             )
@@ -193,13 +200,16 @@
     def _give_back(self, account: Account, surplus: int) -> None:
         for chunk in tuple(account.chunks):
             # A spent chunk is ended too, so that refill may replace it.
-            if chunk.left and chunk.left > surplus:
-                continue
-            surplus -= chunk.left
-            account.chunks.remove(chunk)
-            self.borrower.give_back(
-                account.customer_id,
-                chunk.lender,
-                chunk.chunk_id,
-                chunk.left,
-            )
+            if chunk.left <= max(surplus, 0):
+                surplus -= chunk.left
+                account.chunks.remove(chunk)
+                self.borrower.end_chunk(account.customer_id, chunk)
+            elif chunk.left < chunk.reported * _REPORT_PERCENT // 100:
+                chunk.reported = chunk.left
+                self.borrower.report(
+                    account.customer_id,
+                    chunk.lender,
+                    chunk.chunk_id,
+                    chunk.left,
+                    0,
+                )
--- a/packages/decisions/src/baobabwharf_decisions/limits/ledger.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/ledger.py
@@ -36,6 +36,11 @@
         self._borrower = borrower
         self._open: dict[int, _Held] = {}
 
+    def drop_expired(self, account: Account, now_ms: int) -> None:
+        """Stop spending from expired chunks; the holder gets the rest."""
+        for chunk in account.drop_expired(now_ms):
+            self._borrower.end_chunk(account.customer_id, chunk)
+
     def balance(self, account: Account, now_ms: int) -> int:
         """Return what can be spent without asking anyone."""
         bucket = self._lender.bucket(account.customer_id, now_ms)
@@ -51,16 +56,19 @@
         self, account: Account, amount: int, now_ms: int
     ) -> Reservation | None:
         """Take the amount from chunks, then from the own bucket, or not."""
-        account.drop_expired(now_ms)
+        self.drop_expired(account, now_ms)
         bucket = self._lender.bucket(account.customer_id, now_ms)
         own = 0 if bucket is None else bucket.level
         if own + account.borrowed < amount:
             return None
         reservation_id = self._lender.next_id()
-        parts, left = _spend_chunks(account, amount)
-        if left and bucket is not None:
-            bucket.take(reservation_id, left)
-            parts.append(_Part(None, reservation_id, left))
+        # An own bucket near its cap would lose refill: it is spent first.
+        first = 0 if bucket is None else max(0, own - bucket.cap // 2)
+        first = min(first, amount)
+        parts, left = _spend_chunks(account, amount - first)
+        if first + left and bucket is not None:
+            bucket.take(reservation_id, first + left)
+            parts.append(_Part(None, reservation_id, first + left))
         taken = sum(part.amount for part in parts)
         check_invariant(taken == amount, 'A reservation is not covered.')
         self._open[reservation_id] = _Held(account.customer_id, amount, parts)
@@ -86,12 +94,17 @@
                 bucket.give_back(part.source_id, refund)
             return
         chunk = account.find(part.source_id, part.lender)
+        left = 0
         if chunk is not None:
-            chunk.left += refund
-        elif refund:
+            kept = min(refund, chunk.reported - chunk.left)
+            chunk.left += kept
+            refund -= kept
+            left = chunk.left
+            chunk.reported = left if refund else chunk.reported
+        if refund:
             # The holder credits it as far as refill has not replaced it.
-            self._borrower.give_back(
-                account.customer_id, part.lender, part.source_id, refund
+            self._borrower.report(
+                account.customer_id, part.lender, part.source_id, left, refund
             )
 
 
--- a/packages/decisions/src/baobabwharf_decisions/limits/lender.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/lender.py
@@ -101,7 +101,9 @@
         for returned in request.items:
             bucket = self.bucket(returned.customer_id, now_ms)
             if bucket is not None:
-                bucket.take_back(returned.chunk_id, returned.total)
+                bucket.take_back(
+                    returned.chunk_id, returned.left, returned.total
+                )
 
     def _grant(
         self, customer_id: CustomerId, amount: int, now_ms: int
--- a/packages/decisions/src/baobabwharf_decisions/limits/messages.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/messages.py
@@ -40,10 +40,11 @@
 
 
 class Returned(msgspec.Struct, frozen=True):
-    """End a chunk; total is all that was ever returned of it."""
+    """Report a chunk: left may still be spent, total was ever returned."""
 
     customer_id: CustomerId
     chunk_id: int
+    left: int
     total: int
 
 
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/limits_audit.py
@@ -0,0 +1,88 @@
+"""Check exactly what was handed out over all windows."""
+
+from typing import final
+
+import msgspec
+
+
+class Spent(msgspec.Struct):
+    """Record tokens that count as handed out when they were granted."""
+
+    at_us: int
+    tokens: int
+
+
+class Cap(msgspec.Struct, frozen=True):
+    """State rate and burst from a time on."""
+
+    from_us: int
+    rate: int
+    burst: int
+
+
+@final
+class Audit:
+    """Replay one virtual bucket: it is never overdrawn if no window is.
+
+    A token per second is one micro-token per microsecond, so all sums are
+    exact integers.
+    """
+
+    def __init__(self, caps: tuple[Cap, ...]) -> None:
+        self._caps = caps
+        self.spent: list[Spent] = []
+        self._counted = 0
+        self._live_us = 0
+        self._live_level = caps[0].burst * 1_000_000
+
+    def worst_overdraft(self) -> int:
+        """Return the most micro-tokens above burst + rate x window."""
+        level = self._caps[0].burst * 1_000_000
+        last_us = 0
+        worst = 0
+        for event in self._merged():
+            cap = self._cap_at(last_us)
+            level += cap.rate * (event.at_us - last_us)
+            last_us = event.at_us
+            burst = self._cap_at(last_us).burst * 1_000_000
+            level = min(level, burst) - event.tokens * 1_000_000
+            worst = max(worst, -level)
+        return worst
+
+    def level_at(self, now_us: int) -> int:
+        """Return the level of the virtual bucket under the first cap."""
+        cap = self._caps[0]
+        full = cap.burst * 1_000_000
+        for event in self.spent[self._counted :]:
+            elapsed_us = event.at_us - self._live_us
+            refilled = self._live_level + cap.rate * elapsed_us
+            self._live_level = min(full, refilled) - event.tokens * 1_000_000
+            self._live_us = event.at_us
+        self._counted = len(self.spent)
+        elapsed_us = now_us - self._live_us
+        return min(full, self._live_level + cap.rate * elapsed_us)
+
+    def highest_ratio(self) -> float:
+        """Return the most handed out over any window, over its bound."""
+        cap = self._caps[0]
+        events = [event for event in self._merged() if event.tokens]
+        highest = 0.0
+        for start, first in enumerate(events):
+            total = 0
+            for event in events[start:]:
+                total += event.tokens
+                window_us = event.at_us - first.at_us
+                bound = cap.burst * 1_000_000 + cap.rate * window_us
+                highest = max(highest, total * 1_000_000 / bound)
+        return highest
+
+    def _merged(self) -> list[Spent]:
+        marks = [Spent(cap.from_us, 0) for cap in self._caps]
+        return sorted([*self.spent, *marks], key=lambda event: event.at_us)
+
+    def _cap_at(self, at_us: int) -> Cap:
+        current = self._caps[0]
+        for cap in self._caps:
+            if cap.from_us <= at_us:
+                current = cap
+        return current
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/limits_fleet.py
@@ -0,0 +1,89 @@
+"""Build simulated fleets under one of three schemes."""
+
+import enum
+
+from baobabwharf_core.ids import RegionId, Revision, VmId, ZoneId
+from baobabwharf_core.model import Customer, FleetConfig, VmRecord
+
+from baobabwharf_testkit.limits_node import (
+    CUSTOMER,
+    FixedNode,
+    LimitNode,
+    Node,
+)
+from baobabwharf_testkit.limits_world import (
+    MAX_DRIFT_PPM,
+    Network,
+    VmClock,
+    World,
+)
+
+_REGIONS = 3
+
+
+class Scheme(enum.Enum):
+    """Choose how a customer's bucket is shared."""
+
+    LENDING = 'lending'
+    STATIC_SPLIT = 'static split'
+    CENTRAL_LEDGER = 'central ledger'
+
+
+def vm_regions(count: int) -> dict[str, str]:
+    """Return VMs in three regions."""
+    return {
+        f'vm-{index}': f'region-{index % _REGIONS}' for index in range(count)
+    }
+
+
+def fleet_config(
+    customer: Customer, regions: dict[str, str], revision: int
+) -> FleetConfig:
+    """Return a configuration with one customer."""
+    vms = {
+        VmId(vm): VmRecord(
+            VmId(vm), RegionId(region), ZoneId(region), False, '', '', ''
+        )
+        for vm, region in regions.items()
+    }
+    return FleetConfig(Revision(revision), {CUSTOMER: customer}, vms=vms)
+
+
+def build_fleet(
+    scheme: Scheme,
+    customer: Customer,
+    world: World,
+    network: Network,
+    regions: dict[str, str],
+) -> dict[str, Node]:
+    """Start all VMs with clocks that drift within the bound."""
+    fleet: dict[str, Node] = {}
+    for vm_id in regions:
+        drift = world.rng.randint(-MAX_DRIFT_PPM, MAX_DRIFT_PPM)
+        clock = VmClock(drift, world.rng.randrange(10**9))
+        node_type = LimitNode if scheme is Scheme.LENDING else FixedNode
+        fleet[vm_id] = node_type(vm_id, world, network, clock)
+    config = fleet_config(customer, regions, 1)
+    for node in fleet.values():
+        if isinstance(node, LimitNode):
+            node.peers = {
+                peer: other
+                for peer, other in fleet.items()
+                if isinstance(other, LimitNode)
+            }
+            node.config = config
+        elif isinstance(node, FixedNode):
+            _set_up_fixed(node, scheme, customer, fleet)
+    for node in fleet.values():
+        node.begin()
+    return fleet
+
+
+def _set_up_fixed(
+    node: FixedNode, scheme: Scheme, customer: Customer, fleet: dict[str, Node]
+) -> None:
+    central = scheme is Scheme.CENTRAL_LEDGER
+    owner = next(iter(fleet.values())) if central else None
+    node.customer = customer
+    node.parts = 1 if central else len(fleet)
+    node.ledger = owner if isinstance(owner, FixedNode) else None
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/limits_micro.py
@@ -0,0 +1,51 @@
+"""Measure the cost of a reservation and the state of a customer."""
+
+import gc
+import time
+import tracemalloc
+from typing import Any
+
+from baobabwharf_core.ids import CustomerId, RegionId, VmId, ZoneId
+from baobabwharf_core.model import Customer, FleetConfig, VmRecord
+from baobabwharf_decisions.limits import Granted, LimitCore
+
+_ROUNDS = 20_000
+_ID = VmId('vm-0')
+
+
+def measure(customers: int) -> dict[str, Any]:
+    """Return µs for reserve and settle, and bytes for each customer."""
+    names = [CustomerId(f'customer-{index}') for index in range(customers)]
+    vm = VmRecord(_ID, RegionId('r'), ZoneId('z'), False, '', '', '')
+    config = FleetConfig(
+        customers={name: Customer(name, 10**6, 10**6) for name in names},
+        vms={_ID: vm},
+    )
+    core = LimitCore(_ID, 1, 0, 0)
+    core.configure(config)
+    now_ms = 10_000
+    core.advance(now_ms, now_ms)
+    gc.collect()
+    tracemalloc.start()
+    for name in names:
+        _use(core, name)
+    used_bytes, _peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    begin_ns = time.perf_counter_ns()
+    for index in range(_ROUNDS):
+        _use(core, names[index % customers])
+    took_us = (time.perf_counter_ns() - begin_ns) / 1000
+    return {
+        'customers': customers,
+        'reserve_settle_us': round(took_us / _ROUNDS, 1),
+        'bytes_per_customer': used_bytes // customers,
+    }
+
+
+def _use(core: LimitCore, name: CustomerId) -> None:
+    core.request(name, 1, 0)
+    for action in core.drain():
+        if isinstance(action, Granted):
+            core.settle(action.reservation.reservation_id, 1)
+            return
+    raise AssertionError('The bucket of the benchmark is empty.')
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/limits_traffic.py
@@ -0,0 +1,117 @@
+"""Send one customer's requests and count what was refused."""
+
+import functools
+import random
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+from baobabwharf_core.model import Customer
+from baobabwharf_decisions.limits.bucket import HolderBucket
+
+from baobabwharf_testkit.limits_audit import Audit, Spent
+from baobabwharf_testkit.limits_node import Node
+from baobabwharf_testkit.limits_world import World
+
+_MEAN_USED = 350
+_SMALLEST, _LARGEST = 200, 800
+# Uses 40% to 100% of what was reserved, 70% on average.
+_LEAST_USED = 0.4
+_WAIT_MS = 250
+_US = 1_000_000
+
+
+class Planned(msgspec.Struct, frozen=True):
+    """Hold one request of the plan."""
+
+    at_us: int
+    reserved: int
+    used: int
+    hold_us: int
+
+
+class Counts(msgspec.Struct):
+    """Count requests and how long the granted ones waited."""
+
+    sent: int = 0
+    refused: int = 0
+    waits_ms: list[int] = []
+
+
+def plan_traffic(
+    customer: Customer, load: float, span_us: tuple[int, int], seed: int
+) -> list[Planned]:
+    """Return requests that one ideal bucket for the whole fleet grants."""
+    rng = random.Random(seed)
+    requests_per_us = load * customer.rate_tokens_per_s / _MEAN_USED / _US
+    plan = []
+    at_us = float(span_us[0])
+    while at_us < span_us[1]:
+        at_us += rng.expovariate(requests_per_us)
+        reserved = rng.randint(_SMALLEST, _LARGEST)
+        used = round(reserved * rng.uniform(_LEAST_USED, 1))
+        hold_us = rng.randrange(100_000, 3_000_000)
+        plan.append(Planned(int(at_us), reserved, used, hold_us))
+    return plan
+
+
+def keep_conforming(customer: Customer, plan: list[Planned]) -> list[Planned]:
+    """Drop what the ideal bucket refuses; any other refusal is wrongful."""
+    start_ms = plan[0].at_us // 1000 - 10**7
+    ideal = HolderBucket(
+        customer.rate_tokens_per_s * 1000,
+        customer.burst_tokens * _US,
+        start_ms,
+    )
+    events: list[tuple[int, int, Planned]] = []
+    for index, planned in enumerate(plan):
+        events.append((planned.at_us, index + 1, planned))
+        events.append((planned.at_us + planned.hold_us, -index - 1, planned))
+    kept = []
+    for at_us, mark, planned in sorted(events, key=lambda event: event[:2]):
+        ideal.refill(at_us // 1000)
+        if mark < 0:
+            ideal.give_back(-mark, (planned.reserved - planned.used) * _US)
+        elif ideal.level >= planned.reserved * _US:
+            ideal.take(mark, planned.reserved * _US)
+            kept.append(planned)
+    return kept
+
+
+@final
+class Traffic:
+    """Send the plan to the VM that the callers use at that time."""
+
+    def __init__(
+        self, world: World, audit: Audit, choose: Callable[[int], Node]
+    ) -> None:
+        self._world = world
+        self._audit = audit
+        self._choose = choose
+        self.counts = Counts()
+
+    def schedule(self, plan: list[Planned]) -> None:
+        """Send all requests at their times."""
+        for planned in plan:
+            self._world.at(
+                planned.at_us, functools.partial(self._send, planned)
+            )
+
+    def _send(self, planned: Planned) -> None:
+        node = self._choose(planned.at_us)
+        self.counts.sent += 1
+
+        def answer(settle: Callable[[int], None] | None) -> None:
+            if settle is None:
+                self.counts.refused += 1
+                return
+            self._grant(planned, settle)
+
+        node.run(lambda: node.request(planned.reserved, _WAIT_MS, answer))
+
+    def _grant(self, planned: Planned, settle: Callable[[int], None]) -> None:
+        now_us = self._world.now_us
+        # What a request uses counts from when its tokens were granted.
+        self._audit.spent.append(Spent(now_us, planned.used))
+        self.counts.waits_ms.append((now_us - planned.at_us) // 1000)
+        self._world.after(planned.hold_us, lambda: settle(planned.used))
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/limits_world.py
@@ -0,0 +1,88 @@
+"""Simulate VMs with drifting clocks and a faulty network."""
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import final
+
+_US_PER_MS = 1000
+_PPM = 1_000_000
+_Event = tuple[int, int, Callable[[], None]]
+MAX_DRIFT_PPM = 9900  # just within the bound of 1%
+
+
+@final
+class VmClock:
+    """Turn true time into what one VM's clock shows."""
+
+    def __init__(self, drift_ppm: int, offset_us: int) -> None:
+        self._drift_ppm = drift_ppm
+        self._offset_us = offset_us
+
+    def read_ms(self, now_us: int) -> int:
+        """Return whole ms as the VM sees them."""
+        local_us = now_us * (_PPM + self._drift_ppm) // _PPM
+        return (local_us + self._offset_us) // _US_PER_MS
+
+
+@final
+class World:
+    """Run events in order of true time, in microseconds."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now_us = 0
+        self._events: list[_Event] = []
+        self._count = 0
+
+    def at(self, time_us: int, action: Callable[[], None]) -> None:
+        """Run an action at a time."""
+        self._count += 1
+        heapq.heappush(self._events, (time_us, self._count, action))
+
+    def after(self, delay_us: int, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        self.at(self.now_us + delay_us, action)
+
+    def run(self, until_us: int) -> None:
+        """Run all events up to a time."""
+        while self._events and self._events[0][0] <= until_us:
+            event = heapq.heappop(self._events)
+            self.now_us = event[0]
+            event[2]()
+
+
+@final
+class Network:
+    """Deliver messages with delay, loss, duplicates and partitions."""
+
+    def __init__(
+        self, world: World, regions: dict[str, str], loss: float, chaos: float
+    ) -> None:
+        self._world = world
+        self._regions = regions
+        self._loss = loss
+        # Share of messages that come twice or seconds late.
+        self._chaos = chaos
+        self.cut: frozenset[str] = frozenset()
+
+    def send(self, source: str, to: str, action: Callable[[], None]) -> None:
+        """Deliver a message, or not."""
+        rng = self._world.rng
+        if self._is_cut(source, to) or rng.random() < self._loss:
+            return
+        self._world.after(self._delay_us(source, to), action)
+        if rng.random() < self._chaos:
+            self._world.after(rng.randrange(5_000_000), action)
+
+    def _is_cut(self, source: str, to: str) -> bool:
+        here, there = self._regions[source], self._regions[to]
+        return (here in self.cut) != (there in self.cut)
+
+    def _delay_us(self, source: str, to: str) -> int:
+        rng = self._world.rng
+        if rng.random() < self._chaos:
+            return rng.randrange(5_000_000)
+        if self._regions[source] == self._regions[to]:
+            return rng.randrange(1_000, 4_000)
+        return rng.randrange(25_000, 40_000)
