--- /dev/null
+++ b/features/functional/limits_daemon.feature
@@ -0,0 +1,11 @@
+Feature: Limits and membership over the network
+  Guards against tasks of real VMs that do not find each other, do not lend,
+  keep a dead or leaving VM, or lose a withdrawal.
+
+  Scenario: VMs lend to each other and notice who stops
+    Given limits tasks of 6 VMs in three regions on free ports
+    Then the limits tasks find each other and agree on one share table
+    And a limits task reserves more than its own share by borrowing
+    And a withdrawal reaches all limits tasks
+    And a killed limits VM leaves the live VMs of all others
+    And a leaving limits VM leaves the live VMs of all others
--- /dev/null
+++ b/features/steps/leases.py
@@ -0,0 +1,145 @@
+"""Exercise the lease rules with drifting clocks and a faulty network."""
+
+from unittest import mock
+
+from baobabwharf_core.ids import FencingToken, VmId
+from baobabwharf_decisions import leases
+from baobabwharf_decisions.leases import (
+    LeaseGrant,
+    LeaseGranter,
+    LeaseHolder,
+    may_take_over,
+    surely_ended_ms,
+)
+from baobabwharf_testkit.limits_world import MAX_DRIFT_PPM, VmClock, World
+from behave import then
+from behave.runner import Context
+
+_LIFETIME_MS = 2000
+_VMS = ('vm-1', 'vm-2', 'vm-3')
+_END_US = 300_000_000
+_CHECK_US = 5_000
+
+
+class LeaseSubject:
+    """Run three VMs that ask one granter for the same lease."""
+
+    def __init__(
+        self,
+        seed: int,
+        granter_drift: int | None = None,
+        lifetime_ms: int = _LIFETIME_MS,
+    ) -> None:
+        self.world = World(seed)
+        self.lifetime_ms = lifetime_ms
+        rng = self.world.rng
+        drift = granter_drift
+        if drift is None:
+            drift = rng.randint(-MAX_DRIFT_PPM, MAX_DRIFT_PPM)
+        self.granter_clock = VmClock(drift, rng.randrange(10**9))
+        self.granter = self.new_granter(FencingToken(0), None)
+        self.clocks = {}
+        self.holders = {}
+        for vm in _VMS:
+            drift = rng.choice((-MAX_DRIFT_PPM, 0, MAX_DRIFT_PPM))
+            self.clocks[vm] = VmClock(drift, rng.randrange(10**9))
+            self.holders[vm] = LeaseHolder(VmId(vm))
+            self.world.at(rng.randrange(10**6), lambda vm=vm: self.ask(vm))
+        self.acts = 0
+        self.clashes = 0
+        self.tokens: list[int] = []
+        self.world.after(_CHECK_US, self.check)
+        self.world.at(_END_US // 2, self.restart_granter)
+
+    def new_granter(
+        self, token: FencingToken, previous: VmId | None
+    ) -> LeaseGranter:
+        now_ms = self.granter_clock.read_ms(self.world.now_us)
+        return LeaseGranter(self.lifetime_ms, token, now_ms, previous)
+
+    def restart_granter(self) -> None:
+        # Token and holder are in the replicated state, its times are not.
+        last = self.granter
+        self.granter = self.new_granter(last._token, last._holder)
+
+    def ask(self, vm: str) -> None:
+        rng = self.world.rng
+        sent_ms = self.clocks[vm].read_ms(self.world.now_us)
+        for _copy in range(rng.choice((0, 1, 1, 1, 2))):
+            delay_us = rng.choice((5_000, 40_000, 900_000, 4_000_000))
+            self.world.after(delay_us, lambda: self.receive(vm, sent_ms))
+        if rng.random() < 0.05:
+            self.release(vm)
+        pause_us = rng.choice((100_000, 300_000))
+        if rng.random() < 0.1:
+            pause_us = 4000 * self.lifetime_ms
+        self.world.after(pause_us, lambda: self.ask(vm))
+
+    def receive(self, vm: str, sent_ms: int) -> None:
+        now_ms = self.granter_clock.read_ms(self.world.now_us)
+        outcome = self.granter.ask(VmId(vm), now_ms)
+        if outcome.is_ok():
+            grant: LeaseGrant = outcome.ok
+            delay_us = self.world.rng.choice((5_000, 40_000, 3_000_000))
+            self.world.after(
+                delay_us, lambda: self.holders[vm].granted(grant, sent_ms)
+            )
+
+    def release(self, vm: str) -> None:
+        now_ms = self.clocks[vm].read_ms(self.world.now_us)
+        token = self.holders[vm].token_to_act(now_ms, 0)
+        self.holders[vm].drop(now_ms)
+        if token is not None:
+            self.granter.release(VmId(vm), token)
+
+    def check(self) -> None:
+        tokens = [
+            holder.token_to_act(self.clocks[vm].read_ms(self.world.now_us), 0)
+            for vm, holder in self.holders.items()
+        ]
+        held = [token for token in tokens if token is not None]
+        self.acts += len(held)
+        self.clashes += len(held) > 1
+        self.tokens.extend(held)
+        self.world.after(_CHECK_US, self.check)
+
+
+@then('the lease run with seed {seed:d} never has two holders')
+def one_holder(context: Context, seed: int) -> None:
+    subject = LeaseSubject(seed)
+    subject.world.run(_END_US)
+    print(f'lease: seed {seed}, {subject.acts} moments held')
+    assert subject.acts > 1_000
+    assert subject.clashes == 0
+    assert subject.tokens == sorted(subject.tokens)
+    assert len(set(subject.tokens)) > 5
+
+
+@then('the lease run finds two holders when the drift bound is ignored')
+def drift_matters(context: Context) -> None:
+    clashes = 0
+    with mock.patch.object(leases, 'surely_ended_ms', lambda span_ms: span_ms):
+        for seed in range(1, 6):
+            # A long lease makes the drift longer than the way of a message.
+            subject = LeaseSubject(seed, MAX_DRIFT_PPM, 10_000)
+            subject.world.run(_END_US)
+            clashes += subject.clashes
+    print(f'lease: {clashes} moments with two holders')
+    assert clashes
+
+
+@then('a lease holder that was frozen past its lifetime has no token')
+def frozen(context: Context) -> None:
+    holder = LeaseHolder(VmId('vm'))
+    holder.granted(LeaseGrant(VmId('vm'), FencingToken(3), 2000), 1000)
+    assert holder.token_to_act(2500, 100) == 3
+    assert holder.token_to_act(2950, 100) is None
+    assert holder.token_to_act(9000, 0) is None
+
+
+@then('a lease takeover waits only for endpoints that ignore tokens')
+def takeover(context: Context) -> None:
+    ended_ms = 500 + surely_ended_ms(_LIFETIME_MS)
+    assert may_take_over(True, 500, 501, _LIFETIME_MS)
+    assert not may_take_over(False, 500, ended_ms - 1, _LIFETIME_MS)
+    assert may_take_over(False, 500, ended_ms, _LIFETIME_MS)
--- /dev/null
+++ b/features/steps/membership.py
@@ -0,0 +1,78 @@
+"""Exercise membership in a simulated fleet."""
+
+from baobabwharf_testkit.membership_runs import MemberFleet, run_membership
+from behave import then, when
+from behave.runner import Context
+
+_S = 1_000_000
+
+
+class MembershipSubject:
+    """Hold one fleet that has joined."""
+
+    def __init__(self, loss: float) -> None:
+        self.fleet = MemberFleet(9, loss, 7)
+        self.run_until(8)
+        assert self.fleet.all_see_all()
+
+    def run_until(self, second: int) -> None:
+        self.fleet.world.run(second * _S)
+
+
+@when(
+    'membership runs for {seconds:d} s on 9 VMs with loss {loss:g}'
+    ' and seed {seed:d}'
+)
+def run(context: Context, seconds: int, loss: float, seed: int) -> None:
+    context.run = run_membership(9, loss, seed, seconds)
+    print(f'membership: {context.run}')
+
+
+@then('membership removed no live VM and dropped the killed one within 2 s')
+def check(context: Context) -> None:
+    assert context.run['moments_with_a_live_vm_missing'] == 0
+    assert context.run['killed_gone_ms'] is not None
+    assert context.run['killed_gone_ms'] <= 2000
+
+
+@then('membership costs each of 9, 50 and 350 VMs at most 8000 bytes/s')
+def cost(context: Context) -> None:
+    for count in (9, 50, 350):
+        # A fleet that still joins fills its messages: the highest cost.
+        figures = run_membership(count, 0, 1, 2, longest_join_s=3)
+        print(f'membership: {figures}')
+        assert figures['bytes_per_s_per_vm'] <= 8000
+
+
+@then('membership carries a tombstone to all VMs under loss')
+def tombstone(context: Context) -> None:
+    subject = MembershipSubject(0.1)
+    nodes = list(subject.fleet.nodes.values())
+    nodes[0].core.items.publish_tombstone(b'digest')
+    subject.run_until(12)
+    assert all(node.tombstones == [b'digest'] for node in nodes[1:])
+
+
+@then('membership of a frozen VM is stale and has a higher incarnation')
+def frozen(context: Context) -> None:
+    subject = MembershipSubject(0)
+    core = next(iter(subject.fleet.nodes.values())).core
+    before = core.own.record.incarnation
+    core.tick(8_050, 8_050)
+    assert not core.stale
+    core.tick(12_000, 12_000)
+    assert core.stale
+    assert core.own.record.incarnation > before
+
+
+@then('membership splits at a partition and joins after it heals')
+def heal(context: Context) -> None:
+    subject = MembershipSubject(0)
+    subject.fleet.network.cut = frozenset(('region-0',))
+    subject.run_until(14)
+    nodes = list(subject.fleet.nodes.values())
+    assert len(nodes[0].core.live()) == 3
+    assert len(nodes[1].core.live()) == 6
+    subject.fleet.network.cut = frozenset()
+    subject.run_until(34)
+    assert subject.fleet.all_see_all()
--- a/packages/testkit/src/baobabwharf_testkit/membership_runs.py
+++ b/packages/testkit/src/baobabwharf_testkit/membership_runs.py
@@ -20,7 +20,6 @@
 
 _S = 1_000_000
 _TICK_US = 50_000
-_LONGEST_JOIN_US = 120 * _S
 
 
 @final
@@ -169,11 +168,15 @@
 
 
 def run_membership(
-    count: int, loss: float, seed: int, seconds: int
+    count: int,
+    loss: float,
+    seed: int,
+    seconds: int,
+    longest_join_s: int = 120,
 ) -> dict[str, Any]:
     """Return wrongful removals, detection time and cost for each VM."""
     fleet = MemberFleet(count, loss, seed)
-    joined_us = _join(fleet)
+    joined_us = _join(fleet, longest_join_s * _S)
     before = sum(node.bytes_sent for node in fleet.nodes.values())
     begin_s = time.process_time()
     removals = 0
@@ -195,12 +198,12 @@
     }
 
 
-def _join(fleet: MemberFleet) -> int:
-    for moment_us in range(_S, _LONGEST_JOIN_US, _S // 2):
+def _join(fleet: MemberFleet, longest_us: int) -> int:
+    for moment_us in range(_S, longest_us, _S // 2):
         fleet.world.run(moment_us)
         if fleet.all_see_all():
             return moment_us
-    return _LONGEST_JOIN_US
+    return longest_us
 
 
 def _kill(fleet: MemberFleet, now_us: int) -> int | None:
