--- a/packages/decisions/src/baobabwharf_decisions/limits/account.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/account.py
@@ -9,7 +9,7 @@
 # Demand is remembered about this long after traffic moves to another VM.
 _DEMAND_MEMORY_MS = 400
 # Covers the longest round trip between regions and two ticks.
-_PREFETCH_MS = 500
+_PREFETCH_MS = 300
 
 
 class Chunk(msgspec.Struct):
@@ -21,6 +21,8 @@
     left: int
     # What the lender was last told; a refund may not raise left above it.
     reported: int
+    # Used for good since the last report.
+    used: int = 0
 
 
 class Waiter(msgspec.Struct):
--- a/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
@@ -50,10 +50,10 @@
         self._last_number = 0
         self._sent: dict[int, _Sent] = {}
         self._asks: dict[VmId, list[Ask]] = {}
-        self._returns: dict[VmId, list[Returned]] = {}
+        self._returns: dict[VmId, dict[int, Returned]] = {}
         self._silent_until: dict[VmId, int] = {}
-        # Chunk to all that was returned of it; a resend repeats the total.
-        self._totals: dict[tuple[VmId, int], int] = {}
+        # Chunk to all that was returned and used of it.
+        self._totals: dict[tuple[VmId, int], tuple[int, int]] = {}
 
     def plan(
         self,
@@ -129,25 +129,27 @@
 
     def end_chunk(self, customer_id: CustomerId, chunk: Chunk) -> None:
         """Return what is left of a chunk that is not held any more."""
-        self.report(customer_id, chunk.lender, chunk.chunk_id, 0, chunk.left)
+        refund = chunk.left
+        chunk.left = 0
+        self.report(customer_id, chunk, refund)
 
     def report(
-        self,
-        customer_id: CustomerId,
-        lender: VmId,
-        chunk_id: int,
-        left: int,
-        refund: int,
+        self, customer_id: CustomerId, chunk: Chunk, refund: int
     ) -> None:
-        """Tell a holder what may still be spent, and refund the rest."""
-        key = (lender, chunk_id)
-        total = self._totals.pop(key, 0) + refund
-        self._totals[key] = total
-        # A total that restarts at zero only loses tokens.
+        """Tell the holder what may be spent and was used; refund the rest."""
+        key = (chunk.lender, chunk.chunk_id)
+        returned, used = self._totals.pop(key, (0, 0))
+        totals = (returned + refund, used + chunk.used)
+        chunk.used = 0
+        chunk.reported = chunk.left
+        self._totals[key] = totals
+        # Totals that restart at zero only lose tokens.
         if len(self._totals) > _KEPT_TOTALS:
             self._totals.pop(next(iter(self._totals)))
-        self._returns.setdefault(lender, []).append(
-            Returned(customer_id, chunk_id, left, total)
+        # A newer report of the same chunk replaces the older one.
+        reports = self._returns.setdefault(chunk.lender, {})
+        reports[chunk.chunk_id] = Returned(
+            customer_id, chunk.chunk_id, chunk.left, *totals
         )
 
     def forget(self) -> None:
@@ -167,7 +169,7 @@
             )
             actions.append(SendBorrow(to, request))
         for to, items in self._returns.items():
-            message = ReturnRequest(self._vm_id, tuple(items))
+            message = ReturnRequest(self._vm_id, tuple(items.values()))
             actions.append(SendReturn(to, message))
         self._asks.clear()
         self._returns.clear()
--- a/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
@@ -8,11 +8,18 @@
 
 
 class _Lent(msgspec.Struct):
-    """Hold what a borrower may still spend, and what it gave back."""
+    """Hold what a borrower may spend, and what it gave back and used."""
 
     expires_ms: int
     left: int
-    returned: int = 0
+    settled: tuple[int, int] = (0, 0)
+
+
+class _Entry(msgspec.Struct):
+    """Hold what may still be given back; settled as in a lent chunk."""
+
+    left: int
+    settled: tuple[int, int]
 
 
 @final
@@ -45,8 +52,7 @@
         self._lent = 0
         self._refundable = 0
         self._chunks: dict[int, _Lent] = {}
-        # Entry id to (amount left, amount returned so far).
-        self._entries: OrderedDict[int, tuple[int, int]] = OrderedDict()
+        self._entries: OrderedDict[int, _Entry] = OrderedDict()
         self.share_key: object = None
 
     @property
@@ -95,12 +101,13 @@
     def take(self, entry_id: int, amount: int) -> None:
         """Spend from the level."""
         self._level -= amount
-        self._add_entry(entry_id, amount, 0)
+        self._add_entry(entry_id, amount, (0, 0))
         self._check()
 
     def give_back(self, entry_id: int, unused: int) -> None:
         """Settle a reservation; refund what refill has not replaced."""
-        left, _returned = self._entries.pop(entry_id, (0, 0))
+        entry = self._entries.pop(entry_id, None)
+        left = 0 if entry is None else entry.left
         self._refundable -= left
         self._level += min(unused, left)
         self._check()
@@ -112,10 +119,13 @@
         self._chunks[chunk_id] = _Lent(expires_ms, amount)
         self._check()
 
-    def take_back(self, chunk_id: int, left: int, returned: int) -> None:
-        """Take what a borrower may still spend and all that it gave back.
+    def take_back(
+        self, chunk_id: int, left: int, returned: int, used: int
+    ) -> None:
+        """Take what a borrower may spend, has given back and has used.
 
-        Both only move one way, so old and repeated messages change nothing.
+        All three only move one way, so old and repeated messages change
+        nothing.
         """
         chunk = self._chunks.get(chunk_id)
         if chunk is not None and left < chunk.left:
@@ -125,12 +135,16 @@
         entry = self._entries.get(chunk_id)
         if entry is None:
             return
-        refundable, already = entry
-        refund = min(max(0, returned - already), refundable)
-        self._entries[chunk_id] = (refundable - refund, max(already, returned))
+        refund = min(max(0, returned - entry.settled[0]), entry.left)
+        ended = min(max(0, used - entry.settled[1]), entry.left - refund)
+        entry.left -= refund + ended
+        entry.settled = (
+            max(entry.settled[0], returned),
+            max(entry.settled[1], used),
+        )
         if chunk is not None:
-            chunk.returned = max(already, returned)
-        self._refundable -= refund
+            chunk.settled = entry.settled
+        self._refundable -= refund + ended
         self._level += refund
         self._check()
 
@@ -149,25 +163,30 @@
         spent = chunk.left - left
         chunk.left = left
         self._lent -= spent
-        self._add_entry(chunk_id, spent, chunk.returned)
+        self._add_entry(chunk_id, spent, chunk.settled)
         if not left:
             del self._chunks[chunk_id]
 
-    def _add_entry(self, entry_id: int, amount: int, returned: int) -> None:
-        known = self._entries.get(entry_id, (0, returned))
-        self._entries[entry_id] = (known[0] + amount, known[1])
+    def _add_entry(
+        self, entry_id: int, amount: int, settled: tuple[int, int]
+    ) -> None:
+        known = self._entries.get(entry_id)
+        if known is None:
+            known = _Entry(0, settled)
+            self._entries[entry_id] = known
+        known.left += amount
         self._refundable += amount
 
     def _forfeit(self) -> None:
         excess = self._level + self._lent + self._refundable - self._cap
         while excess > 0 and self._entries:
-            entry_id, (left, returned) = self._entries.popitem(last=False)
-            lost = min(left, excess)
+            entry_id, entry = next(iter(self._entries.items()))
+            lost = min(entry.left, excess)
             excess -= lost
+            entry.left -= lost
             self._refundable -= lost
-            if left > lost:
-                self._entries[entry_id] = (left - lost, returned)
-                self._entries.move_to_end(entry_id, last=False)
+            if not entry.left:
+                del self._entries[entry_id]
 
     def _check(self) -> None:
         check_invariant(self._level >= 0, 'A bucket level is negative.')
--- a/packages/decisions/src/baobabwharf_decisions/limits/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/core.py
@@ -205,11 +205,4 @@
                 account.chunks.remove(chunk)
                 self.borrower.end_chunk(account.customer_id, chunk)
             elif chunk.left < chunk.reported * _REPORT_PERCENT // 100:
-                chunk.reported = chunk.left
-                self.borrower.report(
-                    account.customer_id,
-                    chunk.lender,
-                    chunk.chunk_id,
-                    chunk.left,
-                    0,
-                )
+                self.borrower.report(account.customer_id, chunk, 0)
--- a/packages/decisions/src/baobabwharf_decisions/limits/ledger.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/ledger.py
@@ -7,7 +7,7 @@
 from baobabwharf_core.invariants import check_invariant
 from baobabwharf_core.requests import Reservation
 
-from baobabwharf_decisions.limits.account import Account
+from baobabwharf_decisions.limits.account import Account, Chunk
 from baobabwharf_decisions.limits.borrower import Borrower
 from baobabwharf_decisions.limits.lender import Lender
 from baobabwharf_decisions.limits.units import MICRO
@@ -94,18 +94,17 @@
                 bucket.give_back(part.source_id, refund)
             return
         chunk = account.find(part.source_id, part.lender)
-        left = 0
-        if chunk is not None:
-            kept = min(refund, chunk.reported - chunk.left)
-            chunk.left += kept
-            refund -= kept
-            left = chunk.left
-            chunk.reported = left if refund else chunk.reported
-        if refund:
+        if chunk is None:
+            ended = Chunk(part.source_id, part.lender, 0, 0, 0)
+            ended.used = part.amount - refund
             # The holder credits it as far as refill has not replaced it.
-            self._borrower.report(
-                account.customer_id, part.lender, part.source_id, left, refund
-            )
+            self._borrower.report(account.customer_id, ended, refund)
+            return
+        kept = min(refund, chunk.reported - chunk.left)
+        chunk.left += kept
+        chunk.used += part.amount - refund
+        if refund > kept:
+            self._borrower.report(account.customer_id, chunk, refund - kept)
 
 
 def _spend_chunks(account: Account, amount: int) -> tuple[list[_Part], int]:
--- a/packages/decisions/src/baobabwharf_decisions/limits/lender.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/lender.py
@@ -102,7 +102,10 @@
             bucket = self.bucket(returned.customer_id, now_ms)
             if bucket is not None:
                 bucket.take_back(
-                    returned.chunk_id, returned.left, returned.total
+                    returned.chunk_id,
+                    returned.left,
+                    returned.total,
+                    returned.used,
                 )
 
     def _grant(
--- a/packages/decisions/src/baobabwharf_decisions/limits/messages.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/messages.py
@@ -40,12 +40,13 @@
 
 
 class Returned(msgspec.Struct, frozen=True):
-    """Report a chunk: left may still be spent, total was ever returned."""
+    """Report a chunk: left may be spent; the totals returned and used."""
 
     customer_id: CustomerId
     chunk_id: int
     left: int
     total: int
+    used: int
 
 
 class ReturnRequest(msgspec.Struct, frozen=True):
