--- a/packages/daemon/src/baobabwharf_daemon/lending.py
+++ b/packages/daemon/src/baobabwharf_daemon/lending.py
@@ -17,7 +17,6 @@
     ReturnReply,
     ReturnRequest,
     SendBorrow,
-    SendReturn,
 )
 from baobabwharf_decisions.membership import Summary
 from expression import Error, Ok, Result
@@ -109,8 +108,9 @@
         self._core.give_back_all()
         returns = [
             self._call(action.to, RETURN_PATH, action.request)
-            for action in self._core.drain()
-            if isinstance(action, SendReturn)
+            for action in self._core.borrower.drain_returns(
+                self._core.now_ms, at_once=True
+            )
         ]
         await asyncio.gather(*returns)
         running = tuple(self._running)
@@ -170,8 +170,6 @@
         for action in self._core.drain():
             if isinstance(action, SendBorrow):
                 self._spawn(self._send_borrow(action))
-            elif isinstance(action, SendReturn):
-                self._spawn(self._call(action.to, RETURN_PATH, action.request))
             elif isinstance(action, Granted):
                 self._answer(action.ticket, Ok(action.reservation))
             elif isinstance(action, Refused):
@@ -212,6 +210,11 @@
             self._advance()
             self._core.tick()
             self._act()
+            due = self._core.borrower.drain_returns(self._core.now_ms)
+            for returns in due:
+                self._spawn(
+                    self._call(returns.to, RETURN_PATH, returns.request)
+                )
             await asyncio.sleep(_TICK_S)
 
     def _spawn(self, job: Coroutine[Any, Any, Any]) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
@@ -23,6 +23,8 @@
 # A holder that gave no reply is not asked again for so long.
 _BACKOFF_MS = 500
 _KEPT_TOTALS = 4096
+# Reports are collected for so long, to send fewer messages.
+_RETURN_EVERY_MS = 200
 # A holder with less than this share of the need is not worth a message.
 _WORTH_DIVISOR = 50
 # Holders asked at once at least, so that all are drained about equally and
@@ -51,6 +53,7 @@
         self._sent: dict[int, _Sent] = {}
         self._asks: dict[VmId, list[Ask]] = {}
         self._returns: dict[VmId, dict[int, Returned]] = {}
+        self._returns_due_ms = 0
         self._silent_until: dict[VmId, int] = {}
         # Chunk to all that was returned and used of it.
         self._totals: dict[tuple[VmId, int], tuple[int, int]] = {}
@@ -158,7 +161,7 @@
         self._asks.clear()
 
     def drain(self, now_ms: int) -> list[Action]:
-        """Return one message for each holder that has any."""
+        """Return one message for each holder that is asked."""
         actions: list[Action] = []
         for to, asks in self._asks.items():
             self._last_number += 1
@@ -168,13 +171,23 @@
                 self._vm_id, self._nonce, number, tuple(asks)
             )
             actions.append(SendBorrow(to, request))
-        for to, items in self._returns.items():
-            message = ReturnRequest(self._vm_id, tuple(items.values()))
-            actions.append(SendReturn(to, message))
         self._asks.clear()
-        self._returns.clear()
         return actions
 
+    def drain_returns(
+        self, now_ms: int, at_once: bool = False
+    ) -> list[SendReturn]:
+        """Return one message for each holder of reported chunks, if due."""
+        if now_ms < self._returns_due_ms and not at_once:
+            return []
+        self._returns_due_ms = now_ms + _RETURN_EVERY_MS
+        returns = [
+            SendReturn(to, ReturnRequest(self._vm_id, tuple(items.values())))
+            for to, items in self._returns.items()
+        ]
+        self._returns.clear()
+        return returns
+
     def _rank(
         self,
         account: Account,
--- a/packages/decisions/src/baobabwharf_decisions/limits/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/core.py
@@ -166,7 +166,7 @@
             self._give_back(account, account.borrowed)
 
     def drain(self) -> list[Action]:
-        """Return what the driver must do."""
+        """Return what the driver must do at once; returns wait for ticks."""
         return [*self._room.drain(), *self.borrower.drain(self._now_ms)]
 
     def _account(self, customer_id: CustomerId) -> Account:
--- a/packages/decisions/src/baobabwharf_decisions/limits/messages.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/messages.py
@@ -88,4 +88,4 @@
     refusal: Refusal
 
 
-Action = SendBorrow | SendReturn | Granted | Refused
+Action = SendBorrow | Granted | Refused
--- a/packages/testkit/src/baobabwharf_testkit/limits_node.py
+++ b/packages/testkit/src/baobabwharf_testkit/limits_node.py
@@ -11,7 +11,6 @@
     LimitCore,
     Refused,
     SendBorrow,
-    SendReturn,
 )
 from baobabwharf_decisions.limits.baselines import FixedBucket
 
@@ -132,6 +131,9 @@
         self._advance()
         self.core.tick()
         self._act()
+        for returns in self.core.borrower.drain_returns(self.now_ms):
+            peer = self.peers[returns.to]
+            self._send(peer, peer.take_back, returns.request)
         self._confirm()
 
     def _confirm(self) -> None:
@@ -165,9 +167,6 @@
                 peer = self.peers[action.to]
                 self._send(peer, peer.lend, self.vm_id, action.request)
                 self._expect(action.request.number)
-            elif isinstance(action, SendReturn):
-                peer = self.peers[action.to]
-                self._send(peer, peer.take_back, action.request)
             else:
                 self._answer(action)
 
