--- a/features/unit/consensus_schedule.feature
+++ b/features/unit/consensus_schedule.feature
@@ -20,6 +20,6 @@
       | fault                 | seeds | check                       |
       | ack-before-sync       | 80    | leader completeness         |
       | no-pre-vote           | 20    | undisturbed leader          |
-      | vote-not-persisted    | 100   | election safety             |
+      | vote-not-persisted    | 200   | election safety             |
       | stale-read            | 40    | linearisable reads          |
       | old-revision-accepted | 4     | configuration never reverts |
--- a/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -20,7 +20,6 @@
 from baobabwharf_daemon.gateway.auth import KeyIndex
 from baobabwharf_daemon.gateway.bookings import Bookings
 from baobabwharf_daemon.gateway.caller_app import CallerParts, CallerRoutes
-from baobabwharf_daemon.gateway.catalog import RegistryCatalog
 from baobabwharf_daemon.gateway.certificates import TlsContexts
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.exchange import Exchange
@@ -50,7 +49,7 @@
 from baobabwharf_daemon.rpc import read_secret
 from baobabwharf_daemon.settings import Settings
 
-__all__ = ('Gateway', 'GatewayInputs', 'RegistryCatalog', 'build_gateway')
+__all__ = ('Gateway', 'GatewayInputs', 'build_gateway')
 
 
 class GatewayInputs(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/baobabwharf_daemon/routing_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/routing_parts.py
@@ -1,6 +1,7 @@
 """Build the registry and the router of a daemon and run them."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Awaitable, Callable
 from typing import final
@@ -29,6 +30,7 @@
 _TICK_S = 0.05
 _SYNC_S = 0.1
 _SLOW_TICK_S = 0.5
+_MAX_MODELS = 1024
 
 Publisher = Callable[[bytes], None]
 
@@ -54,6 +56,7 @@
         self._registry = registry
         self._router = router
         self._membership = membership
+        self._models: dict[ModelId, ServiceId] = {}
         self._publisher: Publisher | None = None
         self._timers: list[asyncio.Task[None]] = []
         self._log = get_logger('routing')
@@ -69,12 +72,18 @@
         return self._router
 
     def models(self) -> dict[ModelId, ServiceId]:
-        """Return the service of each model, over all regions."""
-        known = self._regions.models_elsewhere()
-        for service, model in self._directory.groups:
-            if model is not None:
-                known[model] = service
-        return known
+        """Return the service of each model, over all regions.
+
+        A model stays known when its last endpoint is gone, so that a request
+        is refused for want of an endpoint and not as a wrong name.
+        """
+        groups = itertools.chain(
+            self._directory.groups, self._regions.groups_elsewhere()
+        )
+        for service, model in groups:
+            if model is not None and len(self._models) < _MAX_MODELS:
+                self._models[model] = service
+        return self._models
 
     def publish_with(self, publisher: Publisher) -> None:
         """Name what sends the summary of this region to the other VMs."""
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -1,7 +1,7 @@
 """Choose the region that serves a request, at its entry VM."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 import msgspec
 from baobabwharf_core.ids import ModelId, RegionId, ServiceId, WorkClass
@@ -99,19 +99,10 @@
         self._allowances: dict[tuple[ServiceId, WorkClass], AwayAllowance] = {}
         self.flights = Flights()
 
-    @property
-    def known_regions(self) -> tuple[RegionId, ...]:
-        """Return the regions that have sent a summary."""
-        return tuple(self._reports)
-
-    def models_elsewhere(self) -> dict[ModelId, ServiceId]:
-        """Return the service of each model in the summaries."""
-        return {
-            model: service
-            for report in self._reports.values()
-            for service, model in report.groups
-            if model is not None
-        }
+    def groups_elsewhere(self) -> Iterator[tuple[ServiceId, ModelId | None]]:
+        """Yield the service and model of each group in the summaries."""
+        for report in self._reports.values():
+            yield from report.groups
 
     def on_summary(
         self, summary: RegionSummary, now_ms: int, age_ms: int = 0
--- a/packages/testkit/src/baobabwharf_testkit/replication_bench.py
+++ b/packages/testkit/src/baobabwharf_testkit/replication_bench.py
@@ -4,6 +4,7 @@
 that this machine needs is not counted.
 """
 
+import itertools
 import random
 import sys
 from functools import partial
@@ -123,8 +124,8 @@
         for node in self._nodes.values():
             node.tick()
         self.timeline.run_until(_WARM_UP_MS)
-        for _caller in range(self._case.callers):
-            self._propose()
+        for propose in itertools.repeat(self._propose, self._case.callers):
+            propose()
         self.timeline.run_until(2 * _WARM_UP_MS)
         self._latencies.clear()
         self.timeline.run_until(2 * _WARM_UP_MS + _RUN_MS)
