Overlap the failures of a soak run and add planned stops

Cause: one lane never had two failures at once, and nothing checked planned stops under load. A call whose connection was never made is repeated by the client.

--- a/packages/testkit/src/baobabwharf_testkit/calls.py
+++ b/packages/testkit/src/baobabwharf_testkit/calls.py
@@ -35,6 +35,8 @@
     REFUSED = 'refused'
     # An explicit error; the call may have run.
     FAILED = 'failed'
+    # No connection was made, so nothing was sent.
+    UNSENT = 'unsent'
     # The connection broke before the answer was complete.
     BROKEN = 'broken'
     # The answer looks complete but is not the right one: never allowed.
@@ -62,6 +64,7 @@
     first_token_ms: float | None = None
     total_ms: float = 0.0
     fault: str = ''
+    unsent: bool = False
 
 
 class Judgement(msgspec.Struct, frozen=True):
@@ -125,6 +128,8 @@
 
 def judge(call: Call, answer: Answer) -> Judgement:
     """Compare an answer with what the endpoint must have said."""
+    if answer.unsent:
+        return Judgement(Outcome.UNSENT, 'no connection')
     if answer.fault:
         return Judgement(Outcome.BROKEN, answer.fault)
     if answer.status >= _MIN_ERROR_STATUS:
--- a/packages/testkit/src/baobabwharf_testkit/demo.py
+++ b/packages/testkit/src/baobabwharf_testkit/demo.py
@@ -50,6 +50,7 @@
     'complete',
     'refused',
     'failed',
+    'unsent',
     'broken',
     'wrong',
     'first p50 ms',
@@ -61,6 +62,7 @@
     Outcome.COMPLETE,
     Outcome.REFUSED,
     Outcome.FAILED,
+    Outcome.UNSENT,
     Outcome.BROKEN,
     Outcome.WRONG,
 )
--- a/packages/testkit/src/baobabwharf_testkit/load.py
+++ b/packages/testkit/src/baobabwharf_testkit/load.py
@@ -182,9 +182,7 @@
             again = _may_repeat(call, judgement)
             if not again or _now_ms() > end:
                 return judgement, answer
-            if judgement.outcome is Outcome.BROKEN:
-                self._entries.drop(answer.vm_url)
-            if judgement.reason in {'vm_stopping', 'vm_not_ready'}:
+            if _should_leave(judgement):
                 self._entries.drop(answer.vm_url)
             await asyncio.sleep(self._wait_ms(judgement) / _MS_PER_S)
 
@@ -195,7 +193,8 @@
         try:
             await self._exchange(call, answer, started)
         except _FAILURES as fault:
-            answer.fault = repr(fault)
+            answer.fault = type(fault).__name__
+            answer.unsent = isinstance(fault, aiohttp.ClientConnectorError)
         answer.total_ms = _now_ms() - started
         return answer
 
@@ -225,8 +224,16 @@
         return self._random.uniform(_BACKOFF_MS / 2, _BACKOFF_MS)
 
 
+def _should_leave(judgement: Judgement) -> bool:
+    if judgement.outcome in {Outcome.UNSENT, Outcome.BROKEN}:
+        return True
+    return judgement.reason in {'vm_stopping', 'vm_not_ready'}
+
+
 def _may_repeat(call: Call, judgement: Judgement) -> bool:
     outcome = judgement.outcome
+    if outcome is Outcome.UNSENT:
+        return True
     if outcome is Outcome.REFUSED:
         return judgement.reason in _PASSING
     if outcome in {Outcome.BROKEN, Outcome.FAILED}:
--- a/packages/testkit/src/baobabwharf_testkit/soak.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak.py
@@ -40,8 +40,9 @@
 class Soak:
     """Own the fleet, its clients and its disturbances."""
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path, seed: int, planned: bool) -> None:
         self._folder = folder
+        self._planned = planned
         self._seed = seed
         plan = FleetPlan(
             vms=region_vms(ROTAWEN.regions), link=ROTAWEN.link, proxied=True
@@ -122,10 +123,17 @@
         seed = str(self._seed)
         vms = VmDisturber(self._fleet, self._narrator, seed)
         endpoints = EndpointDisturber(self._fleet, self._narrator, seed)
-        actions = endpoints.actions() + operators.actions()
+        if self._planned:
+            lanes = [vms.planned_actions(), endpoints.planned_actions()]
+        else:
+            # Two lanes for VMs, so that failures overlap.
+            others = endpoints.actions() + operators.actions()
+            lanes = [vms.actions(), vms.actions(), others]
         await asyncio.gather(
-            Lane(vms.actions(), f'{seed} vms').run(until_ns),
-            Lane(actions, f'{seed} others').run(until_ns),
+            *(
+                Lane(actions, f'{seed} {number}').run(until_ns)
+                for number, actions in enumerate(lanes)
+            )
         )
 
     async def _settle(self) -> None:
@@ -171,13 +179,18 @@
         self._violations.extend(operators.violations)
         if flood.worst_ratio > 1:
             self._violations.append('A customer exceeded its rate and burst.')
+        interrupted = statistics.count(Outcome.BROKEN, Outcome.FAILED)
+        if self._planned and interrupted:
+            self._violations.append(
+                f'Planned stops interrupted {interrupted} calls.'
+            )
         if not statistics.count(Outcome.COMPLETE):
             self._violations.append('No call was answered.')
 
 
-async def _run(seconds: float, seed: int) -> int:
+async def _run(seconds: float, seed: int, planned: bool) -> int:
     folder = Path(tempfile.mkdtemp(prefix='baobabwharf-soak-'))
-    soak = Soak(folder, seed)
+    soak = Soak(folder, seed, planned)
     try:
         await soak.prepare()
         await soak.run(seconds)
@@ -200,9 +213,14 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=float, default=60.0)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--planned',
+        action='store_true',
+        help='only planned stops, which may interrupt no call',
+    )
     chosen = parser.parse_args()
     print(f'Seed {chosen.seed}.')
-    return uvloop.run(_run(chosen.seconds, chosen.seed))
+    return uvloop.run(_run(chosen.seconds, chosen.seed, chosen.planned))
 
 
 if __name__ == '__main__':
--- a/packages/testkit/src/baobabwharf_testkit/soak_clients.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_clients.py
@@ -48,7 +48,7 @@
                 found.append(f'Booking {name} ran {count} times.')
             if Outcome.COMPLETE in told and count == 0:
                 found.append(f'Booking {name} was confirmed but never ran.')
-            if told == {Outcome.REFUSED} and count:
+            if told <= {Outcome.REFUSED, Outcome.UNSENT} and count:
                 found.append(f'Booking {name} ran but was refused as not run.')
         return found
 
--- a/packages/testkit/src/baobabwharf_testkit/soak_endpoints.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_endpoints.py
@@ -33,6 +33,10 @@
             self.refused_calls,
         ]
 
+    def planned_actions(self) -> list[Action]:
+        """Return what operators may plan."""
+        return [self.endpoint_leaves]
+
     async def endpoint_leaves(self) -> None:
         """Let an endpoint leave gracefully and return."""
         name = self._random.choice(sorted(self._fleet.endpoints))
--- a/packages/testkit/src/baobabwharf_testkit/soak_vms.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_vms.py
@@ -2,25 +2,39 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from baobabwharf_testkit.fleet import Fleet
 from baobabwharf_testkit.soak_lane import Action, Narrator
 
 _RETURN_MS = 30_000
+_REBUILD_TRIES = 60
+_REBUILD_PAUSE_S = 0.5
+_STATUS_PATH = '/operator/v1/status'
+_VOTING = frozenset(('leader', 'follower'))
 
 
 class VmDisturber:
-    """Kill, freeze and partition VMs and undo it."""
+    """Kill, freeze and partition VMs and undo it.
+
+    Several lanes may share it: each VM and the links have one disturbance at
+    a time, and a data folder is lost only while all other disk VMs vote.
+    """
 
     def __init__(self, fleet: Fleet, narrator: Narrator, seed: str) -> None:
         self._fleet = fleet
         self._narrator = narrator
         self._random = random.Random(seed)
+        self._busy: set[str] = set()
+        self._links = asyncio.Lock()
+        self._disks = asyncio.Lock()
 
     def actions(self) -> list[Action]:
         """Return what can happen."""
         return [
             self.kill_vm,
+            self.stop_vm,
             self.freeze_vm,
             self.partition_region,
             self.drop_one_way,
@@ -28,44 +42,69 @@
             self.lose_data,
         ]
 
+    def planned_actions(self) -> list[Action]:
+        """Return what operators may plan."""
+        return [self.stop_vm]
+
     async def kill_vm(self) -> None:
         """Kill a VM and start it again."""
-        vm_id = self._draw_vm()
-        self._narrator.tell(f'VM {vm_id} is killed.')
-        self._fleet.vms[vm_id].process.kill()
-        await self._pause(1, 4)
-        await self._fleet.restart(vm_id, _RETURN_MS)
-        self._narrator.tell(f'VM {vm_id} is back.')
+        async with self._claimed(list(self._fleet.vms)) as vm_id:
+            self._narrator.tell(f'VM {vm_id} is killed.')
+            self._fleet.vms[vm_id].process.kill()
+            await self._pause(1, 4)
+            await self._fleet.restart(vm_id, _RETURN_MS)
+            self._narrator.tell(f'VM {vm_id} is back.')
+
+    async def stop_vm(self) -> None:
+        """Stop a VM gracefully and start it again."""
+        async with self._claimed(list(self._fleet.vms)) as vm_id:
+            self._narrator.tell(f'VM {vm_id} is stopped.')
+            code = await self._fleet.vms[vm_id].process.terminate(_RETURN_MS)
+            self._narrator.tell(f'VM {vm_id} ended with code {code}.')
+            await self._pause(0, 1)
+            await self._fleet.restart(vm_id, _RETURN_MS)
+            self._narrator.tell(f'VM {vm_id} is back.')
 
     async def freeze_vm(self) -> None:
         """Freeze a VM and thaw it."""
-        vm_id = self._draw_vm()
-        process = self._fleet.vms[vm_id].process
-        self._narrator.tell(f'VM {vm_id} is frozen.')
-        process.freeze()
-        try:
-            await self._pause(1, 6)
-        finally:
-            process.thaw()
-        self._narrator.tell(f'VM {vm_id} is thawed.')
+        async with self._claimed(list(self._fleet.vms)) as vm_id:
+            process = self._fleet.vms[vm_id].process
+            self._narrator.tell(f'VM {vm_id} is frozen.')
+            process.freeze()
+            try:
+                await self._pause(1, 6)
+            finally:
+                process.thaw()
+            self._narrator.tell(f'VM {vm_id} is thawed.')
+
+    async def lose_data(self) -> None:
+        """Lose the data folder of a VM and wait until it votes again."""
+        async with self._disks:
+            if not await self._voting(*self._with_disk()):
+                self._narrator.tell('No data folder is lost: a VM is missing.')
+                return
+            async with self._claimed(self._with_disk()) as vm_id:
+                await self._lose_data(vm_id)
 
     async def partition_region(self) -> None:
         """Partition a region from the others and heal it."""
-        region, inside, outside = self._draw_region()
-        self._narrator.tell(f'Region {region} is partitioned.')
-        self._fleet.links.partition(inside, outside)
-        await self._pause(2, 6)
-        self._fleet.links.heal()
-        self._narrator.tell(f'Region {region} is connected again.')
+        async with self._links:
+            region, inside, outside = self._draw_region()
+            self._narrator.tell(f'Region {region} is partitioned.')
+            self._fleet.links.partition(inside, outside)
+            await self._pause(2, 6)
+            self._fleet.links.heal()
+            self._narrator.tell(f'Region {region} is connected again.')
 
     async def drop_one_way(self) -> None:
         """Drop what one region sends and heal it."""
-        region, inside, outside = self._draw_region()
-        self._narrator.tell(f'Nothing sent from region {region} arrives.')
-        self._fleet.links.drop_one_way(inside, outside)
-        await self._pause(2, 5)
-        self._fleet.links.heal()
-        self._narrator.tell(f'Region {region} is heard again.')
+        async with self._links:
+            region, inside, outside = self._draw_region()
+            self._narrator.tell(f'Nothing sent from region {region} arrives.')
+            self._fleet.links.drop_one_way(inside, outside)
+            await self._pause(2, 5)
+            self._fleet.links.heal()
+            self._narrator.tell(f'Region {region} is heard again.')
 
     async def reset_links(self) -> None:
         """Reset the connections of a region."""
@@ -73,24 +112,50 @@
         self._fleet.links.reset(inside, outside)
         self._narrator.tell(f'The connections of region {region} were reset.')
 
-    async def lose_data(self) -> None:
-        """Lose the data folder of a VM and start it again."""
-        with_disk = [
-            vm_id for vm_id, vm in self._fleet.vms.items() if vm.plan.has_disk
-        ]
-        vm_id = self._random.choice(with_disk)
+    async def _lose_data(self, vm_id: str) -> None:
         self._narrator.tell(f'VM {vm_id} is killed and loses its data folder.')
         self._fleet.vms[vm_id].process.kill()
         self._fleet.lose_data(vm_id)
         await self._pause(0.5, 2)
         await self._fleet.restart(vm_id, _RETURN_MS)
         self._narrator.tell(f'VM {vm_id} is back.')
+        for _ in range(_REBUILD_TRIES):
+            if await self._voting(vm_id):
+                self._narrator.tell(f'VM {vm_id} votes again.')
+                return
+            await asyncio.sleep(_REBUILD_PAUSE_S)
+        self._narrator.tell(f'VM {vm_id} does not vote.')
+
+    async def _voting(self, *vm_ids: str) -> bool:
+        """Tell whether each of the VMs says that it votes."""
+        roles = [await self._role(vm_id) for vm_id in vm_ids]
+        return all(role in _VOTING for role in roles)
+
+    async def _role(self, vm_id: str) -> str:
+        operator = self._fleet.operator(vm_id)
+        status = await operator.get(_STATUS_PATH)
+        await operator.close()
+        entries = status['vms'] if status else []
+        roles = {entry['vm_id']: entry['role'] for entry in entries}
+        return str(roles.get(vm_id, ''))
+
+    @asynccontextmanager
+    async def _claimed(self, vm_ids: list[str]) -> AsyncIterator[str]:
+        """Draw a VM that nothing else disturbs now."""
+        free = sorted(set(vm_ids) - self._busy)
+        vm_id = self._random.choice(free)
+        self._busy.add(vm_id)
+        try:
+            yield vm_id
+        finally:
+            self._busy.discard(vm_id)
 
     async def _pause(self, least_s: float, most_s: float) -> None:
         await asyncio.sleep(self._random.uniform(least_s, most_s))
 
-    def _draw_vm(self) -> str:
-        return self._random.choice(sorted(self._fleet.vms))
+    def _with_disk(self) -> list[str]:
+        vms = self._fleet.vms
+        return [vm_id for vm_id, vm in vms.items() if vm.plan.has_disk]
 
     def _draw_region(self) -> tuple[str, set[str], set[str]]:
         vms = self._fleet.vms
