--- a/packages/daemon/src/baobabwharf_daemon/routing_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/routing_parts.py
@@ -8,13 +8,17 @@
 import msgspec
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.codec import decode, encode
-from baobabwharf_core.ids import RegionId, VmId
+from baobabwharf_core.ids import ModelId, RegionId, ServiceId, VmId
 from baobabwharf_decisions.away import link_meter
 from baobabwharf_decisions.directory import Directory
 from baobabwharf_decisions.routing import RegionRouter
 from baobabwharf_decisions.summaries import RegionSummary, summarise
 
-from baobabwharf_daemon.interfaces import ConfigSource, MembershipView
+from baobabwharf_daemon.interfaces import (
+    ConfigSource,
+    MembershipView,
+    ModelCatalog,
+)
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.registry import Registry
 from baobabwharf_daemon.router import LocalRouter
@@ -30,7 +34,7 @@
 
 
 @final
-class RoutingParts(Task):
+class RoutingParts(ModelCatalog, Task):
     """Run the timers of the registry, the router and the summaries."""
 
     def __init__(
@@ -64,6 +68,14 @@
         """Return the router."""
         return self._router
 
+    def models(self) -> dict[ModelId, ServiceId]:
+        """Return the service of each model, over all regions."""
+        known = self._regions.models_elsewhere()
+        for service, model in self._directory.groups:
+            if model is not None:
+                known[model] = service
+        return known
+
     def publish_with(self, publisher: Publisher) -> None:
         """Name what sends the summary of this region to the other VMs."""
         self._publisher = publisher
--- a/packages/decisions/src/baobabwharf_decisions/directory.py
+++ b/packages/decisions/src/baobabwharf_decisions/directory.py
@@ -38,6 +38,8 @@
         self._groups: dict[GroupKey, EndpointGroup] = {}
         self._index = PrefixIndex()
         self._panic: set[ServiceId] = set()
+        # Live VMs of the region, this one included.
+        self.vms = 1
 
     @property
     def endpoints(self) -> dict[EndpointId, EndpointState]:
@@ -90,10 +92,12 @@
         self._take_beat(known, beat, now_ms, age_ms)
         return Step(BeatOutcome.ACCEPTED, known.state)
 
-    def sent(self, endpoint_id: EndpointId, now_ms: int) -> None:
+    def sent(
+        self, endpoint_id: EndpointId, prefill_ms: float, now_ms: int
+    ) -> None:
         """Count a request that this VM sends to an endpoint."""
         known = self._endpoints[endpoint_id]
-        known.load.sent(now_ms)
+        known.sent(prefill_ms, now_ms)
         self._rerank(known, now_ms)
 
     def release(self, endpoint_id: EndpointId, now_ms: int) -> None:
@@ -131,6 +135,7 @@
     def tick(self, now_ms: int) -> None:
         """Apply what follows from time alone."""
         for known in tuple(self._endpoints.values()):
+            known.load.vms = self.vms
             if now_ms >= known.lease_until_ms:
                 self._expire(known, now_ms)
             else:
