Limits: index members by state

A tick scanned all members; now it looks only at suspects, dead and joining members. The benchmark prints the cost of membership for 9, 50 and 350 VMs.

--- a/packages/decisions/src/baobabwharf_decisions/membership/table.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/table.py
@@ -39,6 +39,7 @@
     """Hold the state of one other VM."""
 
     __slots__ = (
+        '_index',
         'deadline_ms',
         'incarnation',
         'own_failures',
@@ -47,10 +48,14 @@
         'vm_id',
     )
 
-    def __init__(self, vm_id: VmId, record: VmRecord | None) -> None:
+    def __init__(
+        self, vm_id: VmId, record: VmRecord | None, index: '_Index'
+    ) -> None:
         self.vm_id = vm_id
         self.record = record
         self.state = _CHART.initial
+        self._index = index
+        index[self.state][vm_id] = self
         self.incarnation = Incarnation(0)
         self.deadline_ms = 0
         # Probes of this VM that failed since the suspicion began.
@@ -58,7 +63,9 @@
 
     def fire(self, event: str) -> None:
         """Take one step of the chart."""
+        del self._index[self.state][self.vm_id]
         self.state = _CHART.step(self.state, event)
+        self._index[self.state][self.vm_id] = self
 
     def supersedes(self, update: MemberUpdate) -> bool:
         """Tell whether the update says nothing newer."""
@@ -81,11 +88,15 @@
         )
 
 
+_Index = dict[str, dict[VmId, Member]]
+
+
 @final
 class MemberTable:
-    """Index members by state."""
+    """Index members by state, so that a tick costs the same in any fleet."""
 
     def __init__(self) -> None:
+        self._index: _Index = {state: {} for state in _CHART.states}
         self._members: dict[VmId, Member] = {}
 
     def __iter__(self) -> Iterator[Member]:
@@ -102,7 +113,7 @@
         """Return a member, new ones in the state joining."""
         member = self._members.get(vm_id)
         if member is None:
-            member = Member(vm_id, record)
+            member = Member(vm_id, record, self._index)
             self._members[vm_id] = member
         member.record = record or member.record
         return member
@@ -112,14 +123,13 @@
         member = self._members[vm_id]
         if member.state in {DEAD, LEFT}:
             member.fire('forgotten')
+            self._index[member.state].clear()
             del self._members[vm_id]
 
     def in_states(self, *states: str) -> list[Member]:
         """Return the members in any of the states, in order of their ids."""
         found = [
-            member
-            for member in self._members.values()
-            if member.state in states
+            member for state in states for member in self._index[state].values()
         ]
         found.sort(key=lambda member: member.vm_id)
         return found
--- a/packages/testkit/src/baobabwharf_testkit/limits_bench.py
+++ b/packages/testkit/src/baobabwharf_testkit/limits_bench.py
@@ -18,9 +18,12 @@
     run_scenario,
 )
 from baobabwharf_testkit.limits_sharp import run_sharp
+from baobabwharf_testkit.membership_runs import run_membership
 
 _BURSTS = (4 * RATE, 10 * RATE)
 _CUSTOMERS = (100, 1_000, 14_000)
+_FLEETS = (9, 50, 350)
+_COST_S = 5
 
 
 def main() -> None:
@@ -31,6 +34,8 @@
     chosen = parser.parse_args()
     for count in _CUSTOMERS:
         _print('micro', measure(count))
+    for count in _FLEETS:
+        _print('membership', run_membership(count, 0, 1, _COST_S))
     for seed in range(chosen.seeds):
         _print('chaos', run_chaos(seed, chosen.seconds))
     for name in FAULTS:
