--- a/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
@@ -23,6 +23,8 @@
 # A holder that gave no reply is not asked again for so long.
 _BACKOFF_MS = 500
 _KEPT_TOTALS = 4096
+# Reports are collected for so long, to send fewer messages.
+_RETURN_EVERY_MS = 200
 # A holder with less than this share of the need is not worth a message.
 _WORTH_DIVISOR = 50
 # Holders asked at once at least, so that all are drained about equally and
@@ -50,10 +52,11 @@
         self._last_number = 0
         self._sent: dict[int, _Sent] = {}
         self._asks: dict[VmId, list[Ask]] = {}
-        self._returns: dict[VmId, list[Returned]] = {}
+        self._returns: dict[VmId, dict[int, Returned]] = {}
+        self._returns_due_ms = 0
         self._silent_until: dict[VmId, int] = {}
-        # Chunk to all that was returned of it; a resend repeats the total.
-        self._totals: dict[tuple[VmId, int], int] = {}
+        # Chunk to all that was returned and used of it.
+        self._totals: dict[tuple[VmId, int], tuple[int, int]] = {}
 
     def plan(
         self,
@@ -129,25 +132,27 @@
 
     def end_chunk(self, customer_id: CustomerId, chunk: Chunk) -> None:
         """Return what is left of a chunk that is not held any more."""
-        self.report(customer_id, chunk.lender, chunk.chunk_id, 0, chunk.left)
+        refund = chunk.left
+        chunk.left = 0
+        self.report(customer_id, chunk, refund)
 
     def report(
-        self,
-        customer_id: CustomerId,
-        lender: VmId,
-        chunk_id: int,
-        left: int,
-        refund: int,
+        self, customer_id: CustomerId, chunk: Chunk, refund: int
     ) -> None:
-        """Tell a holder what may still be spent, and refund the rest."""
-        key = (lender, chunk_id)
-        total = self._totals.pop(key, 0) + refund
-        self._totals[key] = total
-        # A total that restarts at zero only loses tokens.
+        """Tell the holder what may be spent and was used; refund the rest."""
+        key = (chunk.lender, chunk.chunk_id)
+        returned, used = self._totals.pop(key, (0, 0))
+        totals = (returned + refund, used + chunk.used)
+        chunk.used = 0
+        chunk.reported = chunk.left
+        self._totals[key] = totals
+        # Totals that restart at zero only lose tokens.
         if len(self._totals) > _KEPT_TOTALS:
             self._totals.pop(next(iter(self._totals)))
-        self._returns.setdefault(lender, []).append(
-            Returned(customer_id, chunk_id, left, total)
+        # A newer report of the same chunk replaces the older one.
+        reports = self._returns.setdefault(chunk.lender, {})
+        reports[chunk.chunk_id] = Returned(
+            customer_id, chunk.chunk_id, chunk.left, *totals
         )
 
     def forget(self) -> None:
@@ -156,7 +161,7 @@
         self._asks.clear()
 
     def drain(self, now_ms: int) -> list[Action]:
-        """Return one message for each holder that has any."""
+        """Return one message for each holder that is asked."""
         actions: list[Action] = []
         for to, asks in self._asks.items():
             self._last_number += 1
@@ -166,13 +171,23 @@
                 self._vm_id, self._nonce, number, tuple(asks)
             )
             actions.append(SendBorrow(to, request))
-        for to, items in self._returns.items():
-            message = ReturnRequest(self._vm_id, tuple(items))
-            actions.append(SendReturn(to, message))
         self._asks.clear()
-        self._returns.clear()
         return actions
 
+    def drain_returns(
+        self, now_ms: int, at_once: bool = False
+    ) -> list[SendReturn]:
+        """Return one message for each holder of reported chunks, if due."""
+        if now_ms < self._returns_due_ms and not at_once:
+            return []
+        self._returns_due_ms = now_ms + _RETURN_EVERY_MS
+        returns = [
+            SendReturn(to, ReturnRequest(self._vm_id, tuple(items.values())))
+            for to, items in self._returns.items()
+        ]
+        self._returns.clear()
+        return returns
+
     def _rank(
         self,
         account: Account,
--- a/packages/decisions/src/baobabwharf_decisions/limits/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/core.py
@@ -166,7 +166,7 @@
             self._give_back(account, account.borrowed)
 
     def drain(self) -> list[Action]:
-        """Return what the driver must do."""
+        """Return what the driver must do at once; returns wait for ticks."""
         return [*self._room.drain(), *self.borrower.drain(self._now_ms)]
 
     def _account(self, customer_id: CustomerId) -> Account:
@@ -205,11 +205,4 @@
                 account.chunks.remove(chunk)
                 self.borrower.end_chunk(account.customer_id, chunk)
             elif chunk.left < chunk.reported * _REPORT_PERCENT // 100:
-                chunk.reported = chunk.left
-                self.borrower.report(
-                    account.customer_id,
-                    chunk.lender,
-                    chunk.chunk_id,
-                    chunk.left,
-                    0,
-                )
+                self.borrower.report(account.customer_id, chunk, 0)
