Send every event stream in chunks

Cause: a stream whose events came in one read went out with Content-Length, since sanic states the length of an answer that ends with its first write; the raw client of make bench waits for the last chunk and hung. Change: the last write is separate when it would be the first.

--- a/packages/daemon/src/baobabwharf_daemon/gateway/sink.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/sink.py
@@ -30,6 +30,7 @@
         # The type of sanic's stream hides most of its members.
         self._request: Any = request
         self._response: Any = None
+        self._written = False
 
     @property
     def began(self) -> bool:
@@ -50,9 +51,15 @@
 
     async def finish(self, chunk: bytes) -> None:
         """Send the last part of a streamed answer and its end."""
+        if not self._written:
+            # sanic would state a length instead of sending chunks; a stream
+            # keeps one form whether its events came together or apart.
+            await self.write(chunk)
+            chunk = b''
         await self._send(chunk, last=True)
 
     async def _send(self, chunk: bytes, *, last: bool) -> None:
+        self._written = True
         transport = self._request.transport
         if transport.get_write_buffer_size() <= WRITE_BUFFER_BYTES:
             await self._response.send(chunk, last)
