Let a drain linger and wait for requests that are being read

Cause: an idle VM closed its listeners at once after SIGTERM, while callers and other VMs could still send to it for a moment and then could not know whether their request ran; a request whose body was still on its way was cut; a body that stopped held its connection, since sanic waits for the rest of it. Change: a drain lasts at least 1.5 s, longer than a list of entry VMs is valid; requests count from their headers on; connections with an unfinished body are closed one second after the refusal; slow headers are cut without a traceback.

--- a/features/functional/gateway_callers.feature
+++ b/features/functional/gateway_callers.feature
@@ -85,6 +85,15 @@
     Then the gateway refuses every kind of bad input with a 4xx
     And no endpoint of the gateway was called
 
+  Scenario: Slow headers and bodies do not hold a connection
+    Given a gateway VM whose input timeouts are short with endpoint "sound"
+    Then the gateway ends connections that drip headers or stop in the body
+    And no endpoint of the gateway was called
+
+  Scenario: A request that is still being read survives a drain
+    Given a gateway VM with endpoints "sound"
+    Then the gateway answers a request whose body ends during the drain
+
   Scenario: A draining VM finishes running work and refuses new work
     Given a gateway VM with endpoints "slow"
     When the gateway drains while a stream runs
--- a/features/steps/gateway_callers.py
+++ b/features/steps/gateway_callers.py
@@ -7,6 +7,8 @@
 
 import openai
 from baobabwharf_core.model import KeyRecord
+from baobabwharf_daemon.gateway import body as body_reader
+from baobabwharf_daemon.gateway import http_server
 from behave import given, then, when
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
@@ -285,6 +287,73 @@
     assert not context.subject.vm.limits.reserved
 
 
+@given('a gateway VM whose input timeouts are short with endpoint "{name}"')
+def short_timeouts(context, name):
+    for module, constant, value in (
+        (http_server, 'HEADER_TIMEOUT_S', 0.5),
+        (http_server, 'SWEEP_INTERVAL_S', 0.1),
+        (body_reader, 'BODY_TIMEOUT_S', 0.5),
+    ):
+        former = getattr(module, constant)
+        context.add_cleanup(setattr, module, constant, former)
+        setattr(module, constant, value)
+    begin(context, name)
+
+
+@then('the gateway ends connections that drip headers or stop in the body')
+def slow_input(context):
+    subject = context.subject
+
+    async def work():
+        port = subject.vm.settings.listen.caller_port
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        dripping = asyncio.ensure_future(drip(writer))
+        assert await until_closed(reader) == b''
+        dripping.cancel()
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(http(b'{"model":', length=100))
+        answer = await until_closed(reader)
+        assert answer.startswith(b'HTTP/1.1 400'), answer
+
+    subject.run(work())
+
+
+async def until_closed(reader):
+    try:
+        return await reader.read()
+    except ConnectionResetError:
+        return b''
+
+
+async def drip(writer):
+    for byte in http(b'{}'):
+        writer.write(bytes((byte,)))
+        await asyncio.sleep(0.1)
+
+
+@then('the gateway answers a request whose body ends during the drain')
+def late_body(context):
+    subject = context.subject
+
+    async def work():
+        content = json.dumps(GatewaySubject.body()).encode()
+        port = subject.vm.settings.listen.caller_port
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(http(content)[:-5])
+        await asyncio.sleep(0.1)
+        drain = subject.vm.gateway.drain
+        drain.request_stop()
+        stopped = asyncio.ensure_future(drain.wait())
+        await asyncio.sleep(2)
+        assert not stopped.done()
+        writer.write(content[-5:])
+        answer = await reader.readuntil(b'[DONE]')
+        assert answer.startswith(b'HTTP/1.1 200'), answer
+        await stopped
+
+    subject.run(work())
+
+
 @when('the gateway drains while a stream runs')
 def drain(context):
     subject = context.subject
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/listener.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/listener.py
@@ -107,6 +107,8 @@
     refusal: Refusal, sink: Sink, request_id: str, *, streaming: bool
 ) -> None:
     count_refusal(refusal)
+    if refusal.code is RefusalCode.VM_STOPPING:
+        sink.close_after_answer()
     if not sink.began:
         headers = error_headers(refusal, request_id)
         headers[REFUSAL_HEADER] = encode_refusal(refusal)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -1,5 +1,7 @@
 """Route what callers send to the caller listener."""
 
+from collections.abc import Awaitable
+
 import msgspec
 from baobabwharf_core.model import RouteRule
 from baobabwharf_core.refusals import Refusal, RefusalCode
@@ -18,6 +20,7 @@
 from baobabwharf_daemon.gateway.parse import CHAT_PATH, COMPLETIONS_PATH
 from baobabwharf_daemon.gateway.pipeline import Pipeline
 from baobabwharf_daemon.gateway.records import RequestRecords
+from baobabwharf_daemon.gateway.running import RunningRequests
 from baobabwharf_daemon.gateway.services import (
     SERVICES_PREFIX,
     ServiceCalls,
@@ -49,6 +52,7 @@
     pipeline: Pipeline
     bookings: Bookings
     exchange: Exchange
+    running: RunningRequests
     drain: Drain
 
 
@@ -68,10 +72,10 @@
 
         # sanic marks streaming handlers, which bound methods do not allow.
         async def complete(request: Request) -> None:
-            await self._complete(request)
+            await self._tracked(self._complete(request))
 
         async def call_service(request: Request, target: str) -> None:
-            await self._call_service(request)
+            await self._tracked(self._call_service(request))
 
         for path in (CHAT_PATH, COMPLETIONS_PATH):
             name = path.strip('/').replace('/', '_')
@@ -90,6 +94,14 @@
         app.add_route(self._metrics, '/metrics')
         app.add_route(self._health, '/health')
 
+    async def _tracked(self, work: Awaitable[None]) -> None:
+        """Let a drain wait for requests that are still being read."""
+        self._parts.running.enter()
+        try:
+            await work
+        finally:
+            self._parts.running.leave()
+
     async def _complete(self, request: Request) -> None:
         sink = SanicSink(request)
         caller = self._admit(request)
@@ -99,6 +111,7 @@
         body = await self._bodies.read(request)
         if isinstance(body, Refusal):
             await self._refuse(body, sink)
+            sink.close_soon()
             return
         call = self._completions.build(request, request.path, body, caller)
         if isinstance(call, Refusal):
@@ -116,6 +129,7 @@
         body = await self._bodies.read(request)
         if isinstance(body, Refusal):
             await self._refuse(body, sink)
+            sink.close_soon()
             return
         call = self._services.build(request, rule, body, caller)
         if isinstance(call, Refusal):
--- a/packages/daemon/src/baobabwharf_daemon/gateway/drain.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/drain.py
@@ -8,6 +8,10 @@
 from baobabwharf_daemon.interfaces import MembershipView
 
 _CHART = load_chart('drain')
+# Callers may use a list of entry VMs for 1 s, and other VMs learn by gossip
+# that this one leaves.  Until then new work is refused as not run; a closed
+# listener would leave them with broken connections.
+LINGER_MS = 1500
 _MS_PER_S = 1000
 
 
@@ -75,6 +79,7 @@
         self._step('released')
 
     async def _all_idle(self) -> None:
+        await asyncio.sleep(LINGER_MS / _MS_PER_S)
         for work in self._running:
             await work.wait_idle()
 
--- a/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
@@ -166,7 +166,7 @@
             }
             for connection, start in since.items():
                 if loop.time() - start > HEADER_TIMEOUT_S:
-                    connection.abort()
+                    connection.transport.abort()
 
 
 def _reads_headers(connection: Any) -> bool:
--- a/packages/daemon/src/baobabwharf_daemon/gateway/running.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/running.py
@@ -31,12 +31,23 @@
         self._source = source
         self._keys = keys
         self._running: set[Running] = set()
+        self._entered = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
     def __len__(self) -> int:
         return len(self._running)
 
+    def enter(self) -> None:
+        """Count a request that is still being read."""
+        self._entered += 1
+        self._idle.clear()
+
+    def leave(self) -> None:
+        """Count the end of a request that entered."""
+        self._entered -= 1
+        self._set_if_idle()
+
     def add(self, running: Running) -> None:
         """Add a request that begins."""
         self._running.add(running)
@@ -45,13 +56,16 @@
     def remove(self, running: Running) -> None:
         """Remove a request that has ended."""
         self._running.discard(running)
-        if not self._running:
-            self._idle.set()
+        self._set_if_idle()
 
     async def wait_idle(self) -> None:
         """Wait until no request runs."""
         await self._idle.wait()
 
+    def _set_if_idle(self) -> None:
+        if not (self._running or self._entered):
+            self._idle.set()
+
     async def watch(self) -> None:
         """Cut off callers of withdrawn keys until cancelled."""
         while True:
--- a/packages/daemon/src/baobabwharf_daemon/gateway/sink.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/sink.py
@@ -18,6 +18,7 @@
 _JSON = 'application/json'
 # A caller that reads nothing for this long is treated as gone.
 WRITE_STALL_S = 60
+ANSWER_LINGER_S = 1
 # sanic stops to accept data above this bound.
 WRITE_BUFFER_BYTES = 64 * 1024
 
@@ -96,6 +97,15 @@
         if stream is not None:
             stream.keep_alive = False
 
+    def close_soon(self) -> None:
+        """Close the connection without the rest of the request body.
+
+        sanic would wait for that rest; the caller has time to read the answer.
+        """
+        self.close_after_answer()
+        loop = asyncio.get_running_loop()
+        loop.call_later(ANSWER_LINGER_S, self._request.transport.close)
+
 
 def refusal_response(refusal: Refusal, request_id: str) -> HTTPResponse:
     """Count a refusal and return it as a response."""
--- a/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -140,6 +140,7 @@
             pipeline=pipeline,
             bookings=bookings,
             exchange=Exchange(self._running),
+            running=self._running,
             drain=drain,
         )
         CallerRoutes(parts).add_to(app)
