--- a/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/parse.py
@@ -10,7 +10,6 @@
 import msgspec
 from baobabwharf_core.ids import ModelId
 from baobabwharf_core.refusals import Refusal, RefusalCode
-from expression import Error, Ok, Result
 
 CHAT_PATH = '/v1/chat/completions'
 COMPLETIONS_PATH = '/v1/completions'
@@ -43,13 +42,19 @@
     stream: bool | None = False
     n: int | None = 1
     max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+    @property
+    def asked_tokens(self) -> list[int]:
+        """Return the output bounds that the body states."""
+        asked = (self.max_tokens, self.max_completion_tokens)
+        return [count for count in asked if count is not None]
 
 
 class ChatBody(_Sampling):
     """Hold what the gateway reads of a chat completion request."""
 
     messages: list[Message] = msgspec.field(default_factory=list)
-    max_completion_tokens: int | None = None
 
 
 class CompletionBody(_Sampling):
@@ -85,7 +90,7 @@
     return max(1, -(-len(body) // BYTES_PER_TOKEN))
 
 
-def parse_body(path: str, body: bytes) -> Result[ParsedBody, Refusal]:
+def parse_body(path: str, body: bytes) -> ParsedBody | Refusal:
     """Check a request body; any bytes give a value, never an exception."""
     try:
         if path == CHAT_PATH:
@@ -97,24 +102,22 @@
         return _invalid('The JSON is nested too deeply.')
 
 
-def _check_chat(body: bytes) -> Result[ParsedBody, Refusal]:
+def _check_chat(body: bytes) -> ParsedBody | Refusal:
     parsed = _chat_decoder.decode(body)
     if not parsed.messages:
         return _invalid('messages must not be empty.')
     texts = [_message_text(message) for message in parsed.messages]
     tokens = sum(map(text_tokens, texts)) + TOKENS_PER_MESSAGE * len(texts)
-    asked = [parsed.max_tokens, parsed.max_completion_tokens]
     return _bounded(
         parsed,
         body,
         prompt='\n'.join(texts),
         prompt_tokens=tokens,
-        asked=[count for count in asked if count is not None],
         default=DEFAULT_CHAT_TOKENS,
     )
 
 
-def _check_completion(body: bytes) -> Result[ParsedBody, Refusal]:
+def _check_completion(body: bytes) -> ParsedBody | Refusal:
     parsed = _completion_decoder.decode(body)
     if not parsed.prompt:
         return _invalid('prompt must not be empty.')
@@ -123,13 +126,11 @@
     prompt, tokens, count = _prompt_text(parsed.prompt)
     if count > MAX_CHOICES:
         return _invalid(f'prompt must hold at most {MAX_CHOICES} prompts.')
-    asked = [] if parsed.max_tokens is None else [parsed.max_tokens]
     return _bounded(
         parsed,
         body,
         prompt=prompt,
         prompt_tokens=tokens,
-        asked=asked,
         default=DEFAULT_COMPLETION_TOKENS,
         prompts=count,
     )
@@ -141,11 +142,11 @@
     *,
     prompt: str,
     prompt_tokens: int,
-    asked: list[int],
     default: int,
     prompts: int = 1,
-) -> Result[ParsedBody, Refusal]:
+) -> ParsedBody | Refusal:
     choices = 1 if parsed.n is None else parsed.n
+    asked = parsed.asked_tokens
     bound = max(asked, default=default)
     if not parsed.model:
         return _invalid('model must not be empty.')
@@ -155,16 +156,14 @@
         return _invalid(
             f'max_tokens must be between 1 and {MAX_OUTPUT_TOKENS}.'
         )
-    return Ok(
-        ParsedBody(
-            model=ModelId(parsed.model),
-            prompt=prompt,
-            prompt_tokens=max(1, prompt_tokens),
-            max_output_tokens=bound * choices * prompts,
-            choices=choices * prompts,
-            streaming=bool(parsed.stream),
-            body=body if asked else _state_bound(body, default),
-        )
+    return ParsedBody(
+        model=ModelId(parsed.model),
+        prompt=prompt,
+        prompt_tokens=max(1, prompt_tokens),
+        max_output_tokens=bound * choices * prompts,
+        choices=choices * prompts,
+        streaming=bool(parsed.stream),
+        body=body if asked else _state_bound(body, default),
     )
 
 
@@ -210,5 +209,5 @@
     return f'{fault}.'
 
 
-def _invalid(detail: str) -> Result[ParsedBody, Refusal]:
-    return Error(Refusal(RefusalCode.INVALID_REQUEST, detail=detail))
+def _invalid(detail: str) -> Refusal:
+    return Refusal(RefusalCode.INVALID_REQUEST, detail=detail)
--- a/packages/daemon/src/baobabwharf_daemon/routing_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/routing_parts.py
@@ -1,6 +1,7 @@
 """Build the registry and the router of a daemon and run them."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Awaitable, Callable
 from typing import final
@@ -8,13 +9,17 @@
 import msgspec
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.codec import decode, encode
-from baobabwharf_core.ids import RegionId, VmId
+from baobabwharf_core.ids import ModelId, RegionId, ServiceId, VmId
 from baobabwharf_decisions.away import link_meter
 from baobabwharf_decisions.directory import Directory
 from baobabwharf_decisions.routing import RegionRouter
 from baobabwharf_decisions.summaries import RegionSummary, summarise
 
-from baobabwharf_daemon.interfaces import ConfigSource, MembershipView
+from baobabwharf_daemon.interfaces import (
+    ConfigSource,
+    MembershipView,
+    ModelCatalog,
+)
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.registry import Registry
 from baobabwharf_daemon.router import LocalRouter
@@ -25,12 +30,13 @@
 _TICK_S = 0.05
 _SYNC_S = 0.1
 _SLOW_TICK_S = 0.5
+_MAX_MODELS = 1024
 
 Publisher = Callable[[bytes], None]
 
 
 @final
-class RoutingParts(Task):
+class RoutingParts(ModelCatalog, Task):
     """Run the timers of the registry, the router and the summaries."""
 
     def __init__(
@@ -50,6 +56,7 @@
         self._registry = registry
         self._router = router
         self._membership = membership
+        self._models: dict[ModelId, ServiceId] = {}
         self._publisher: Publisher | None = None
         self._timers: list[asyncio.Task[None]] = []
         self._log = get_logger('routing')
@@ -64,6 +71,20 @@
         """Return the router."""
         return self._router
 
+    def models(self) -> dict[ModelId, ServiceId]:
+        """Return the service of each model, over all regions.
+
+        A model stays known when its last endpoint is gone, so that a request
+        is refused for want of an endpoint and not as a wrong name.
+        """
+        groups = itertools.chain(
+            self._directory.groups, self._regions.groups_elsewhere()
+        )
+        for service, model in groups:
+            if model is not None and len(self._models) < _MAX_MODELS:
+                self._models[model] = service
+        return self._models
+
     def publish_with(self, publisher: Publisher) -> None:
         """Name what sends the summary of this region to the other VMs."""
         self._publisher = publisher
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/borrower.py
@@ -0,0 +1,219 @@
+"""Decide whom to ask for tokens, and give back what is not needed."""
+
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import CustomerId, VmId
+from baobabwharf_core.model import Customer
+
+from baobabwharf_decisions.limits.account import Account, Chunk
+from baobabwharf_decisions.limits.messages import (
+    Action,
+    Ask,
+    BorrowReply,
+    BorrowRequest,
+    Returned,
+    ReturnRequest,
+    SendBorrow,
+    SendReturn,
+)
+from baobabwharf_decisions.limits.shares import Share, ShareTable
+from baobabwharf_decisions.limits.units import CHUNK_LIFETIME_MS
+
+# A holder that gave no reply is not asked again for so long.
+_BACKOFF_MS = 500
+_KEPT_TOTALS = 4096
+# A holder with less than this share of the need is not worth a message.
+_WORTH_DIVISOR = 50
+# Holders asked at once at least, so that all are drained about equally and
+# none is full, where refill would be lost, while others are empty.
+_SPREAD = 3
+# A need above this part of what all holders have is large.
+_LARGE_PART = 16
+# Holders whose fullness differs by less than this step count as equal.
+_FULLNESS_STEPS = 8
+
+
+class _Sent(msgspec.Struct):
+    to: VmId
+    sent_ms: int
+    asks: tuple[Ask, ...]
+
+
+@final
+class Borrower:
+    """Hold asks under way and what goes back to holders."""
+
+    def __init__(self, vm_id: VmId, nonce: int) -> None:
+        self._vm_id = vm_id
+        self._nonce = nonce
+        self._last_number = 0
+        self._sent: dict[int, _Sent] = {}
+        self._asks: dict[VmId, list[Ask]] = {}
+        self._returns: dict[VmId, list[Returned]] = {}
+        self._silent_until: dict[VmId, int] = {}
+        # Chunk to all that was returned of it; a resend repeats the total.
+        self._totals: dict[tuple[VmId, int], int] = {}
+
+    def plan(
+        self,
+        account: Account,
+        need: int,
+        customer: Customer,
+        table: ShareTable,
+        now_ms: int,
+    ) -> None:
+        """Ask the fullest holders, those in this region first if equal."""
+        ranked = self._rank(account, customer, table, now_ms)
+        # A large need is spread over all, so that none stays full meanwhile.
+        everything = sum(entry[-1] for entry in ranked)
+        spread = _SPREAD if need * _LARGE_PART < everything else len(ranked)
+        chosen: dict[VmId, int] = {}
+        for _fullness, _far, vm_id, lendable in ranked:
+            covered = sum(chosen.values()) >= need
+            if covered and len(chosen) >= spread:
+                break
+            if lendable > need // _WORTH_DIVISOR:
+                chosen[vm_id] = lendable
+        self._ask_all(account, chosen, need, now_ms)
+
+    def expected(
+        self,
+        account: Account,
+        customer: Customer,
+        table: ShareTable,
+        now_ms: int,
+    ) -> tuple[int, int, int]:
+        """Return what holders may lend: now, per ms, and at most."""
+        level, rate, cap = 0, 0, 0
+        for holder in table.holders(account.customer_id):
+            if self._may_ask(holder, now_ms):
+                share = table.share(holder, customer)
+                level += available(account, holder, share, now_ms)
+                rate += share.rate
+                cap += share.cap
+        return level, rate, cap
+
+    def take_reply(
+        self, reply: BorrowReply, now_ms: int
+    ) -> tuple[tuple[CustomerId, Chunk | None, VmId, int, int], ...]:
+        """Return per ask: customer, chunk, holder, level left, amount."""
+        sent = self._sent.pop(reply.number, None)
+        if sent is None or reply.nonce != self._nonce:
+            return ()
+        # The lifetime began at the latest when the request was sent.
+        expires_ms = sent.sent_ms + CHUNK_LIFETIME_MS
+        taken = []
+        for ask, grant in zip(sent.asks, reply.grants, strict=True):
+            chunk = None
+            if grant.amount > 0 and expires_ms > now_ms:
+                chunk = Chunk(
+                    grant.chunk_id,
+                    sent.to,
+                    expires_ms,
+                    grant.amount,
+                    grant.amount,
+                )
+            taken.append(
+                (ask.customer_id, chunk, sent.to, grant.level_left, ask.amount)
+            )
+        return tuple(taken)
+
+    def take_failure(self, number: int, now_ms: int) -> tuple[Ask, ...]:
+        """Leave a silent holder alone for a while; return the lost asks."""
+        sent = self._sent.pop(number, None)
+        if sent is None:
+            return ()
+        self._silent_until[sent.to] = now_ms + _BACKOFF_MS
+        return sent.asks
+
+    def end_chunk(self, customer_id: CustomerId, chunk: Chunk) -> None:
+        """Return what is left of a chunk that is not held any more."""
+        self.report(customer_id, chunk.lender, chunk.chunk_id, 0, chunk.left)
+
+    def report(
+        self,
+        customer_id: CustomerId,
+        lender: VmId,
+        chunk_id: int,
+        left: int,
+        refund: int,
+    ) -> None:
+        """Tell a holder what may still be spent, and refund the rest."""
+        key = (lender, chunk_id)
+        total = self._totals.pop(key, 0) + refund
+        self._totals[key] = total
+        # A total that restarts at zero only loses tokens.
+        if len(self._totals) > _KEPT_TOTALS:
+            self._totals.pop(next(iter(self._totals)))
+        self._returns.setdefault(lender, []).append(
+            Returned(customer_id, chunk_id, left, total)
+        )
+
+    def forget(self) -> None:
+        """Drop asks under way; their replies may be of any age."""
+        self._sent.clear()
+        self._asks.clear()
+
+    def drain(self, now_ms: int) -> list[Action]:
+        """Return one message for each holder that has any."""
+        actions: list[Action] = []
+        for to, asks in self._asks.items():
+            self._last_number += 1
+            number = self._last_number
+            self._sent[number] = _Sent(to, now_ms, tuple(asks))
+            request = BorrowRequest(
+                self._vm_id, self._nonce, number, tuple(asks)
+            )
+            actions.append(SendBorrow(to, request))
+        for to, items in self._returns.items():
+            message = ReturnRequest(self._vm_id, tuple(items))
+            actions.append(SendReturn(to, message))
+        self._asks.clear()
+        self._returns.clear()
+        return actions
+
+    def _rank(
+        self,
+        account: Account,
+        customer: Customer,
+        table: ShareTable,
+        now_ms: int,
+    ) -> list[tuple[int, bool, VmId, int]]:
+        here = table.region_of(self._vm_id)
+        ranked = []
+        for holder in table.holders(account.customer_id):
+            if not self._may_ask(holder, now_ms):
+                continue
+            share = table.share(holder, customer)
+            level = available(account, holder, share, now_ms)
+            fullness = level * _FULLNESS_STEPS // max(share.cap, 1)
+            far = table.region_of(holder) != here
+            ranked.append((-fullness, far, holder, level))
+        return sorted(ranked)
+
+    def _may_ask(self, holder: VmId, now_ms: int) -> bool:
+        if holder == self._vm_id:
+            return False
+        return self._silent_until.get(holder, now_ms) <= now_ms
+
+    def _ask_all(
+        self, account: Account, chosen: dict[VmId, int], need: int, now_ms: int
+    ) -> None:
+        total = sum(chosen.values())
+        wanted = min(need, total)
+        for holder, level in chosen.items():
+            amount = -(-wanted * level // total)
+            ask = Ask(account.customer_id, amount)
+            self._asks.setdefault(holder, []).append(ask)
+            account.asked += amount
+            account.learn_level(holder, level - amount, now_ms)
+
+
+def available(account: Account, holder: VmId, share: Share, now_ms: int) -> int:
+    """Estimate what a holder has; an unknown one may be full."""
+    known = account.estimates.get(holder)
+    if known is None:
+        return share.cap
+    refilled = known.level + share.rate * (now_ms - known.at_ms)
+    return max(0, min(share.cap, refilled))
--- a/packages/testkit/src/baobabwharf_testkit/demo.py
+++ b/packages/testkit/src/baobabwharf_testkit/demo.py
@@ -50,6 +50,7 @@
     'complete',
     'refused',
     'failed',
+    'unsent',
     'broken',
     'wrong',
     'first p50 ms',
@@ -61,6 +62,7 @@
     Outcome.COMPLETE,
     Outcome.REFUSED,
     Outcome.FAILED,
+    Outcome.UNSENT,
     Outcome.BROKEN,
     Outcome.WRONG,
 )
@@ -184,7 +186,7 @@
         print(
             f'{evidence.runs.total()} bookings ran, '
             f'{len(evidence.repeated)} of them more than once; '
-            f'{evidence.requests_seen} requests reached the endpoints, '
+            f'{len(evidence.seen)} requests reached the endpoints, '
             f'{evidence.requests_with_key} of them with a key of a caller.'
         )
         complete = sum(
