--- a/packages/decisions/src/baobabwharf_decisions/lanes.py
+++ b/packages/decisions/src/baobabwharf_decisions/lanes.py
@@ -17,7 +17,7 @@
 
 # Part of each endpoint's slots that classes below the most urgent one leave
 # free, so that an urgent request never waits for the end of a long one.
-RESERVE_SHARE = 0.25
+RESERVE_SHARE = 0.4
 
 
 class LaneSet:
@@ -119,13 +119,14 @@
         )
         candidate = self._choose(lane, facts, frozenset(), now_ms)
         if candidate is None:
-            return HomeView(True, wait_ms, wait_ms + group.service_ms)
+            complete_ms = wait_ms + group.service_ms
+            return HomeView(True, wait_ms, complete_ms, lane.urgent_ms)
         expected = candidate.expected
         return HomeView(
             True,
             wait_ms + expected.first_token_ms,
             wait_ms + expected.complete_ms,
-            candidate.cached_share,
+            lane.urgent_ms,
         )
 
     def outside(
