Refuse unknown models as not ready until all regions are heard

Cause: the first request of the fleet feature was refused with model_unknown in one of two runs: the summary of the engine's region had not arrived yet. Change: a VM that has not heard every region with live VMs answers vm_not_ready with Retry-After; the small fleet waits until each VM lists the model.

--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -219,6 +219,8 @@
 
 
 class FakeCatalog(ModelCatalog):
+    complete = True
+
     def models(self):
         return {'rota-1': SERVICE}
 
--- a/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/completions.py
@@ -25,6 +25,8 @@
     ('Accept', 'application/json, text/event-stream'),
 )
 
+_WARM_UP_RETRY_MS = 500
+
 
 class CompletionCalls:
     """Validate completion requests."""
@@ -62,12 +64,20 @@
             choices=parsed.choices,
         )
 
+    def _unknown_model(self) -> Refusal:
+        if self._catalog.complete:
+            return Refusal(RefusalCode.MODEL_UNKNOWN)
+        # A VM that has just started does not know the other regions yet.
+        return Refusal(
+            RefusalCode.VM_NOT_READY, retry_after_ms=_WARM_UP_RETRY_MS
+        )
+
     def _facts(
         self, request: Request, path: str, parsed: ParsedBody, caller: Caller
     ) -> RequestFacts | Refusal:
         service = self._catalog.models().get(ModelId(parsed.model))
         if service is None:
-            return Refusal(RefusalCode.MODEL_UNKNOWN)
+            return self._unknown_model()
         config = self._source.config
         rule = self._routes.find(config, service, path)
         demands = read_demands(request)
--- a/packages/daemon/src/baobabwharf_daemon/interfaces.py
+++ b/packages/daemon/src/baobabwharf_daemon/interfaces.py
@@ -198,6 +198,11 @@
     def models(self) -> Mapping[ModelId, ServiceId]:
         """Return the service of each model, over all regions."""
 
+    @property
+    @abc.abstractmethod
+    def complete(self) -> bool:
+        """Tell whether every region with live VMs has been heard."""
+
 
 class VmStatus(msgspec.Struct, frozen=True):
     """Describe a VM as this VM sees it; age_ms is the revision's age."""
--- a/packages/daemon/src/baobabwharf_daemon/routing_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/routing_parts.py
@@ -56,6 +56,7 @@
         self._registry = registry
         self._router = router
         self._membership = membership
+        self._heard: set[RegionId] = set()
         self._models: dict[ModelId, ServiceId] = {}
         self._publisher: Publisher | None = None
         self._timers: list[asyncio.Task[None]] = []
@@ -85,6 +86,12 @@
                 self._models[model] = service
         return self._models
 
+    @property
+    def complete(self) -> bool:
+        """Tell whether every region with live VMs has been heard."""
+        live = {vm.region for vm in self._membership.live_vms()}
+        return live <= self._heard | {RegionId(self._settings.region)}
+
     def publish_with(self, publisher: Publisher) -> None:
         """Name what sends the summary of this region to the other VMs."""
         self._publisher = publisher
@@ -98,6 +105,7 @@
             return False
         if summary.region == self._settings.region:
             return False
+        self._heard.add(summary.region)
         return self._regions.on_summary(summary, self._clock.now_ms())
 
     async def start(self) -> None:
--- a/packages/testkit/src/baobabwharf_testkit/small_fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -1,5 +1,6 @@
 """Run a small fleet behind fault proxies for functional tests."""
 
+import asyncio
 import tempfile
 from pathlib import Path
 
@@ -36,13 +37,22 @@
 from baobabwharf_testkit.fleet_setup import make_change, set_up_services
 from baobabwharf_testkit.load import Caller, EntryVms
 from baobabwharf_testkit.operator_client import digest, new_key
+from baobabwharf_testkit.readiness import FleetError
 
 FIRST, SECOND, EMPTY = ROTAWEN.regions
 _RATE = 100_000
 _TOKENS_PER_S = 60.0
+_MODEL_POLLS = 100
+_POLL_S = 0.1
 _CONFIG_PATH = '/operator/v1/config'
 
 
+async def _listed_models(session: aiohttp.ClientSession, url: str) -> set[str]:
+    async with session.get(url) as answer:
+        content = await answer.json()
+    return {entry['id'] for entry in content.get('data', ())}
+
+
 class SmallFleet:
     """Own four VMs in three regions; the last region has no endpoints."""
 
@@ -76,6 +86,21 @@
             self._fleet.add_endpoint(plan)
             self._fleet.add_endpoint(service_plan(ROTAWEN, region))
         await self._fleet.wait_registered(*self._fleet.endpoints)
+        await self._wait_known(await self.customer('probe'))
+
+    async def _wait_known(self, key: str) -> None:
+        """Wait until every VM lists the model, which summaries carry."""
+        headers = {'Authorization': f'Bearer {key}'}
+        waiting = [f'{vm.url}/v1/models' for vm in self._fleet.vms.values()]
+        async with aiohttp.ClientSession(headers=headers) as session:
+            polls = _MODEL_POLLS
+            while polls:
+                polls -= 1
+                listed = [await _listed_models(session, url) for url in waiting]
+                if all(ROTAWEN.model_service in names for names in listed):
+                    return
+                await asyncio.sleep(_POLL_S)
+        raise FleetError('Some VMs do not know the model.')
 
     async def customer(
         self, name: str, *residency: str, rate: int = _RATE
