--- a/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/bucket.py
@@ -3,9 +3,25 @@
 from collections import OrderedDict
 from typing import final
 
+import msgspec
 from baobabwharf_core.invariants import check_invariant
 
 
+class _Lent(msgspec.Struct):
+    """Hold what a borrower may spend, and what it gave back and used."""
+
+    expires_ms: int
+    left: int
+    settled: tuple[int, int] = (0, 0)
+
+
+class _Entry(msgspec.Struct):
+    """Hold what may still be given back; settled as in a lent chunk."""
+
+    left: int
+    settled: tuple[int, int]
+
+
 @final
 class HolderBucket:
     """Hold level, lent chunks and what may still be given back.
@@ -35,10 +51,8 @@
         self._level = 0
         self._lent = 0
         self._refundable = 0
-        # Chunk id to (expiry in ms, amount).
-        self._chunks: dict[int, tuple[int, int]] = {}
-        # Entry id to (amount left, amount returned so far).
-        self._entries: OrderedDict[int, tuple[int, int]] = OrderedDict()
+        self._chunks: dict[int, _Lent] = {}
+        self._entries: OrderedDict[int, _Entry] = OrderedDict()
         self.share_key: object = None
 
     @property
@@ -87,12 +101,13 @@
     def take(self, entry_id: int, amount: int) -> None:
         """Spend from the level."""
         self._level -= amount
-        self._add_entry(entry_id, amount, 0)
+        self._add_entry(entry_id, amount, (0, 0))
         self._check()
 
     def give_back(self, entry_id: int, unused: int) -> None:
         """Settle a reservation; refund what refill has not replaced."""
-        left, _returned = self._entries.pop(entry_id, (0, 0))
+        entry = self._entries.pop(entry_id, None)
+        left = 0 if entry is None else entry.left
         self._refundable -= left
         self._level += min(unused, left)
         self._check()
@@ -101,20 +116,35 @@
         """Move tokens into a chunk."""
         self._level -= amount
         self._lent += amount
-        self._chunks[chunk_id] = (expires_ms, amount)
+        self._chunks[chunk_id] = _Lent(expires_ms, amount)
         self._check()
 
-    def take_back(self, chunk_id: int, returned: int) -> None:
-        """Take all that was returned of a chunk; the borrower ends it."""
-        if chunk_id in self._chunks:
-            self._end_chunk(chunk_id)
+    def take_back(
+        self, chunk_id: int, left: int, returned: int, used: int
+    ) -> None:
+        """Take what a borrower may spend, has given back and has used.
+
+        All three only move one way, so old and repeated messages change
+        nothing.
+        """
+        chunk = self._chunks.get(chunk_id)
+        if chunk is not None and left < chunk.left:
+            self._shrink_chunk(chunk_id, chunk, left)
+            # After a lowered cap, lent tokens may exceed it.
+            self._forfeit()
         entry = self._entries.get(chunk_id)
         if entry is None:
             return
-        left, already = entry
-        refund = min(max(0, returned - already), left)
-        self._entries[chunk_id] = (left - refund, max(already, returned))
-        self._refundable -= refund
+        refund = min(max(0, returned - entry.settled[0]), entry.left)
+        ended = min(max(0, used - entry.settled[1]), entry.left - refund)
+        entry.left -= refund + ended
+        entry.settled = (
+            max(entry.settled[0], returned),
+            max(entry.settled[1], used),
+        )
+        if chunk is not None:
+            chunk.settled = entry.settled
+        self._refundable -= refund + ended
         self._level += refund
         self._check()
 
@@ -122,32 +152,41 @@
         if not self._chunks:
             return
         ended = [
-            chunk_id
-            for chunk_id, (expires_ms, _amount) in self._chunks.items()
-            if expires_ms <= now_ms
+            (chunk_id, chunk)
+            for chunk_id, chunk in self._chunks.items()
+            if chunk.expires_ms <= now_ms
         ]
-        for chunk_id in ended:
-            self._end_chunk(chunk_id)
-
-    def _end_chunk(self, chunk_id: int) -> None:
-        _expires_ms, amount = self._chunks.pop(chunk_id)
-        self._lent -= amount
-        self._add_entry(chunk_id, amount, 0)
-
-    def _add_entry(self, entry_id: int, amount: int, returned: int) -> None:
-        self._entries[entry_id] = (amount, returned)
+        for chunk_id, chunk in ended:
+            self._shrink_chunk(chunk_id, chunk, 0)
+
+    def _shrink_chunk(self, chunk_id: int, chunk: _Lent, left: int) -> None:
+        spent = chunk.left - left
+        chunk.left = left
+        self._lent -= spent
+        self._add_entry(chunk_id, spent, chunk.settled)
+        if not left:
+            del self._chunks[chunk_id]
+
+    def _add_entry(
+        self, entry_id: int, amount: int, settled: tuple[int, int]
+    ) -> None:
+        known = self._entries.get(entry_id)
+        if known is None:
+            known = _Entry(0, settled)
+            self._entries[entry_id] = known
+        known.left += amount
         self._refundable += amount
 
     def _forfeit(self) -> None:
         excess = self._level + self._lent + self._refundable - self._cap
         while excess > 0 and self._entries:
-            entry_id, (left, returned) = self._entries.popitem(last=False)
-            lost = min(left, excess)
+            entry_id, entry = next(iter(self._entries.items()))
+            lost = min(entry.left, excess)
             excess -= lost
+            entry.left -= lost
             self._refundable -= lost
-            if left > lost:
-                self._entries[entry_id] = (left - lost, returned)
-                self._entries.move_to_end(entry_id, last=False)
+            if not entry.left:
+                del self._entries[entry_id]
 
     def _check(self) -> None:
         check_invariant(self._level >= 0, 'A bucket level is negative.')
--- a/packages/decisions/src/baobabwharf_decisions/limits/ledger.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/ledger.py
@@ -7,7 +7,7 @@
 from baobabwharf_core.invariants import check_invariant
 from baobabwharf_core.requests import Reservation
 
-from baobabwharf_decisions.limits.account import Account
+from baobabwharf_decisions.limits.account import Account, Chunk
 from baobabwharf_decisions.limits.borrower import Borrower
 from baobabwharf_decisions.limits.lender import Lender
 from baobabwharf_decisions.limits.units import MICRO
@@ -36,6 +36,11 @@
         self._borrower = borrower
         self._open: dict[int, _Held] = {}
 
+    def drop_expired(self, account: Account, now_ms: int) -> None:
+        """Stop spending from expired chunks; the holder gets the rest."""
+        for chunk in account.drop_expired(now_ms):
+            self._borrower.end_chunk(account.customer_id, chunk)
+
     def balance(self, account: Account, now_ms: int) -> int:
         """Return what can be spent without asking anyone."""
         bucket = self._lender.bucket(account.customer_id, now_ms)
@@ -51,16 +56,19 @@
         self, account: Account, amount: int, now_ms: int
     ) -> Reservation | None:
         """Take the amount from chunks, then from the own bucket, or not."""
-        account.drop_expired(now_ms)
+        self.drop_expired(account, now_ms)
         bucket = self._lender.bucket(account.customer_id, now_ms)
         own = 0 if bucket is None else bucket.level
         if own + account.borrowed < amount:
             return None
         reservation_id = self._lender.next_id()
-        parts, left = _spend_chunks(account, amount)
-        if left and bucket is not None:
-            bucket.take(reservation_id, left)
-            parts.append(_Part(None, reservation_id, left))
+        # An own bucket near its cap would lose refill: it is spent first.
+        first = 0 if bucket is None else max(0, own - bucket.cap // 2)
+        first = min(first, amount)
+        parts, left = _spend_chunks(account, amount - first)
+        if first + left and bucket is not None:
+            bucket.take(reservation_id, first + left)
+            parts.append(_Part(None, reservation_id, first + left))
         taken = sum(part.amount for part in parts)
         check_invariant(taken == amount, 'A reservation is not covered.')
         self._open[reservation_id] = _Held(account.customer_id, amount, parts)
@@ -86,13 +94,17 @@
                 bucket.give_back(part.source_id, refund)
             return
         chunk = account.find(part.source_id, part.lender)
-        if chunk is not None:
-            chunk.left += refund
-        elif refund:
+        if chunk is None:
+            ended = Chunk(part.source_id, part.lender, 0, 0, 0)
+            ended.used = part.amount - refund
             # The holder credits it as far as refill has not replaced it.
-            self._borrower.give_back(
-                account.customer_id, part.lender, part.source_id, refund
-            )
+            self._borrower.report(account.customer_id, ended, refund)
+            return
+        kept = min(refund, chunk.reported - chunk.left)
+        chunk.left += kept
+        chunk.used += part.amount - refund
+        if refund > kept:
+            self._borrower.report(account.customer_id, chunk, refund - kept)
 
 
 def _spend_chunks(account: Account, amount: int) -> tuple[list[_Part], int]:
--- a/packages/decisions/src/baobabwharf_decisions/limits/messages.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/messages.py
@@ -40,11 +40,13 @@
 
 
 class Returned(msgspec.Struct, frozen=True):
-    """End a chunk; total is all that was ever returned of it."""
+    """Report a chunk: left may be spent; the totals returned and used."""
 
     customer_id: CustomerId
     chunk_id: int
+    left: int
     total: int
+    used: int
 
 
 class ReturnRequest(msgspec.Struct, frozen=True):
@@ -86,4 +88,4 @@
     refusal: Refusal
 
 
-Action = SendBorrow | SendReturn | Granted | Refused
+Action = SendBorrow | Granted | Refused
