Routing: let an unreported forward count for two mean times only

Cause: a forwarded request counted against its region until its deadline unless its end was reported, which the gateway does not do; batch work with a deadline of minutes would have made every other region look full.

Ruled out: dropping the count, since a region that stops reporting would then be filled without bound.

Change: counts are kept for each region, service and model, and end after two mean times of the model (at least 1 s).

The new scenario fails with the old lifetime.

--- a/features/steps/routing_runs.py
+++ b/features/steps/routing_runs.py
@@ -532,3 +532,36 @@
         print(f'routing comparison: {figures}')
         assert figures == policy_bench.execute(run)
     assert 0 < figures['away'] < 0.5, figures
+
+
+class UnreportedSubject:
+    """Forward requests without telling the router of their end."""
+
+    def __init__(self) -> None:
+        self.router = RegionRouter('a', {}, random.Random(1))
+        self.peers = Peers({'a': 1, 'b': 1}, 'a')
+        self.number = 0
+
+    def forwards(self, now_ms: int) -> bool:
+        self.number += 1
+        group = GroupSummary('chat', 'm', 20, 0, 1000.0, 0.1)
+        summary = RegionSummary('b', self.number, 1, (group,))
+        self.router.on_summary(summary, now_ms)
+        self.router.flights.expire(now_ms)
+        home = HomeView(True, 3000.0, 3000.0)
+        facts = crowd_facts(self.number)
+        choice = self.router.choose(facts, home, self.peers, 1.0, now_ms)
+        return choice.ok.region == 'b'
+
+
+@when('routing forwards {count:d} requests whose end is never reported')
+def forward_unreported(context: Context, count: int) -> None:
+    context.subject = UnreportedSubject()
+    moved = [context.subject.forwards(1000) for _index in range(count)]
+    assert sum(moved) >= 10, moved
+
+
+@then('routing still forwards work to that region two mean times later')
+def still_forwards(context: Context) -> None:
+    later = [context.subject.forwards(4000) for _index in range(20)]
+    assert sum(later) >= 10, later
--- a/features/unit/routing_runs.feature
+++ b/features/unit/routing_runs.feature
@@ -41,3 +41,7 @@
 
   Scenario: The comparison of policies gives the same figures for a seed
     Then the routing comparison gives equal figures twice and spills a part
+
+  Scenario: Requests whose end is not reported do not make a region look full
+    When routing forwards 30 requests whose end is never reported
+    Then routing still forwards work to that region two mean times later
--- a/packages/decisions/src/baobabwharf_decisions/away.py
+++ b/packages/decisions/src/baobabwharf_decisions/away.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 import msgspec
-from baobabwharf_core.ids import RegionId, RequestId
+from baobabwharf_core.ids import ModelId, RegionId, RequestId, ServiceId
 
 # Requests that may go away at once after a quiet time.
 _AWAY_BURST = 8.0
@@ -15,6 +15,8 @@
 # A link counts as full when this many ms of traffic are queued for it.
 LINK_QUEUE_MS = 250
 
+Destination = tuple[RegionId, ServiceId, ModelId | None]
+
 
 class AwayAllowance(msgspec.Struct):
     """Pay spill-over from the share that a target allows."""
@@ -80,35 +82,35 @@
 
 
 class Flights:
-    """Know the running requests that this VM sent to each region."""
+    """Know the running requests that this VM sent to other regions."""
 
     def __init__(self) -> None:
-        self._region_of: dict[RequestId, tuple[RegionId, int]] = {}
-        self._counts: dict[RegionId, int] = {}
+        self._entries: dict[RequestId, tuple[Destination, int]] = {}
+        self._counts: dict[Destination, int] = {}
 
-    def count(self, region: RegionId) -> int:
-        """Return the running requests in a region."""
-        return self._counts.get(region, 0)
+    def count(self, destination: Destination) -> int:
+        """Return the running requests for one model of a region."""
+        return self._counts.get(destination, 0)
 
     def begin(
-        self, request_id: RequestId, region: RegionId, until_ms: int
+        self, request_id: RequestId, destination: Destination, until_ms: int
     ) -> None:
-        """Count a request until it ends or its deadline passes."""
+        """Count a request until it ends or its time has passed."""
         self.end(request_id)
-        self._region_of[request_id] = (region, until_ms)
-        self._counts[region] = self._counts.get(region, 0) + 1
+        self._entries[request_id] = (destination, until_ms)
+        self._counts[destination] = self._counts.get(destination, 0) + 1
 
     def end(self, request_id: RequestId) -> None:
         """Forget a request that ended."""
-        entry = self._region_of.pop(request_id, None)
+        entry = self._entries.pop(request_id, None)
         if entry is not None:
             self._counts[entry[0]] -= 1
 
     def expire(self, now_ms: int) -> None:
-        """Forget requests whose deadline has passed."""
+        """Forget requests whose time has passed."""
         overdue = [
             request_id
-            for request_id, entry in self._region_of.items()
+            for request_id, entry in self._entries.items()
             if now_ms >= entry[1]
         ]
         for request_id in overdue:
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -12,6 +12,7 @@
 from baobabwharf_decisions.away import (
     LINK_QUEUE_MS,
     AwayAllowance,
+    Destination,
     Flights,
     LinkMeter,
     SentRecord,
@@ -31,6 +32,10 @@
 _STAY_SHARE = 0.1
 # Another region must be faster by this part of the expected time at home.
 _MARGIN_SHARE = 0.2
+# A request whose end is not reported counts this many mean times: a count up
+# to the deadline of batch work would make every other region look full.
+_FLIGHT_FACTOR = 2
+_MIN_FLIGHT_MS = 1000
 _DEFAULT_DELAY_MS = 50.0
 _DEFAULT_BYTES_PER_MS = 12_500.0
 # Bytes of an answer on the wire for each token, with event framing.
@@ -96,7 +101,7 @@
         self._links = links
         self._rng = rng
         self._reports: dict[RegionId, _Report] = {}
-        self._sent: dict[RegionId, SentRecord] = {}
+        self._sent: dict[Destination, SentRecord] = {}
         self._allowances: dict[tuple[ServiceId, WorkClass], AwayAllowance] = {}
         self.flights = Flights()
 
@@ -264,12 +269,14 @@
         link_ms = link.queue_ms(now_ms, peers.own)
         if link_ms >= LINK_QUEUE_MS:
             return None
-        sent = self._sent_since(region)
+        destination = (region, facts.service, facts.model)
+        sent = self._sent_since(destination)
         share = peers.others_than(region)
         if damped and not self._has_room(group, sent, share):
             return None
         # The other VMs act on the same report and send about as much.
-        load = max(group.requests + sent * share, self.flights.count(region))
+        load = group.requests + sent * share
+        load = max(load, self.flights.count(destination))
         link_ms += facts.body_bytes / link.bytes_per_ms + 2 * link.delay_ms
         first_ms = link_ms + _time_there(group, facts, load)
         return _Offer(region, first_ms)
@@ -284,11 +291,13 @@
         self, facts: RequestFacts, decision: RegionDecision, now_ms: int
     ) -> None:
         region = decision.region
-        until_ms = now_ms + facts.deadline_ms
-        self.flights.begin(facts.request_id, region, until_ms)
         if region == self._region:
             return
-        self._sent.setdefault(region, SentRecord()).sent(now_ms)
+        destination = (region, facts.service, facts.model)
+        group = self._group(region, facts, now_ms)
+        until_ms = now_ms + _flight_ms(group, facts)
+        self.flights.begin(facts.request_id, destination, until_ms)
+        self._sent.setdefault(destination, SentRecord()).sent(now_ms)
         answer_bytes = facts.max_output_tokens * _BYTES_PER_TOKEN
         self._link(region).sent(max(facts.body_bytes, answer_bytes))
         if not decision.forced:
@@ -316,8 +325,9 @@
             return None
         return group
 
-    def _sent_since(self, region: RegionId) -> int:
-        record = self._sent.get(region)
+    def _sent_since(self, destination: Destination) -> int:
+        region = destination[0]
+        record = self._sent.get(destination)
         if record is None:
             return 0
         # The report was made at least one delay before it arrived.
@@ -336,6 +346,14 @@
         return self._allowances.setdefault(key, AwayAllowance())
 
 
+def _flight_ms(group: GroupSummary | None, facts: RequestFacts) -> int:
+    """Return how long a request counts if its end is not reported."""
+    if group is None:
+        return facts.deadline_ms
+    flight_ms = int(group.service_ms * _FLIGHT_FACTOR)
+    return min(facts.deadline_ms, max(_MIN_FLIGHT_MS, flight_ms))
+
+
 def _time_there(group: GroupSummary, facts: RequestFacts, load: int) -> float:
     wait_ms = expected_wait_ms(load, group.slots, group.service_ms)
     if not facts.prompt_tokens:
