--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -70,6 +70,7 @@
 def check_windows(context: Context) -> None:
     assert context.run['granted'] > 100
     assert context.run['overdraft'] == 0
+    assert context.run['spendable_above_bound'] == 0
 
 
 @then('the sharp run of the limits with seed {seed:d} stays within the bound')
--- a/packages/testkit/src/baobabwharf_testkit/limits_audit.py
+++ b/packages/testkit/src/baobabwharf_testkit/limits_audit.py
@@ -41,26 +41,26 @@
         last_us = 0
         worst = 0
         for event in self._merged():
-            cap = self._cap_at(last_us)
-            level += cap.rate * (event.at_us - last_us)
+            level = self._step(level, last_us, event)
             last_us = event.at_us
-            burst = self._cap_at(last_us).burst * 1_000_000
-            level = min(level, burst) - event.tokens * 1_000_000
             worst = max(worst, -level)
         return worst
 
     def level_at(self, now_us: int) -> int:
-        """Return the level of the virtual bucket under the first cap."""
-        cap = self._caps[0]
-        full = cap.burst * 1_000_000
-        for event in self.spent[self._counted :]:
-            elapsed_us = event.at_us - self._live_us
-            refilled = self._live_level + cap.rate * elapsed_us
-            self._live_level = min(full, refilled) - event.tokens * 1_000_000
+        """Return the level of the virtual bucket; time never goes back."""
+        marks = [
+            Spent(cap.from_us, 0)
+            for cap in self._caps
+            if self._live_us < cap.from_us <= now_us
+        ]
+        events = [*self.spent[self._counted :], *marks, Spent(now_us, 0)]
+        for event in sorted(events, key=lambda event: event.at_us):
+            self._live_level = self._step(
+                self._live_level, self._live_us, event
+            )
             self._live_us = event.at_us
         self._counted = len(self.spent)
-        elapsed_us = now_us - self._live_us
-        return min(full, self._live_level + cap.rate * elapsed_us)
+        return self._live_level
 
     def highest_ratio(self) -> float:
         """Return the most handed out over any window, over its bound."""
@@ -76,6 +76,12 @@
                 highest = max(highest, total * 1_000_000 / bound)
         return highest
 
+    def _step(self, level: int, last_us: int, event: Spent) -> int:
+        rate = self._cap_at(last_us).rate
+        refilled = level + rate * (event.at_us - last_us)
+        burst = self._cap_at(event.at_us).burst
+        return min(refilled, burst * 1_000_000) - event.tokens * 1_000_000
+
     def _merged(self) -> list[Spent]:
         marks = [Spent(cap.from_us, 0) for cap in self._caps]
         return sorted([*self.spent, *marks], key=lambda event: event.at_us)
--- a/packages/testkit/src/baobabwharf_testkit/limits_runs.py
+++ b/packages/testkit/src/baobabwharf_testkit/limits_runs.py
@@ -13,6 +13,7 @@
     vm_regions,
 )
 from baobabwharf_testkit.limits_node import CUSTOMER, LimitNode, Node
+from baobabwharf_testkit.limits_sampler import Sampler
 from baobabwharf_testkit.limits_traffic import (
     Traffic,
     keep_conforming,
@@ -59,15 +60,19 @@
     fleet = build_fleet(Scheme.LENDING, low, world, network, vm_regions(9))
     audit = Audit(_schedule_changes(world, fleet, low, high, seconds * _S))
     vms = list(fleet.values())
-    traffic = Traffic(world, audit, lambda _now: world.rng.choice(vms))
-    traffic.schedule(plan_traffic(high, 2, (_S, seconds * _S), seed))
+    Traffic(world, audit, lambda _now: world.rng.choice(vms)).schedule(
+        plan_traffic(high, 2, (_S, seconds * _S), seed)
+    )
     for fault in range(seconds // 4):
         _schedule_random_fault(world, network, vms, seed + fault)
+    sampler = Sampler(world, vms, audit)
+    sampler.sample()
     world.run(seconds * _S)
     return {
         'seed': seed,
         'granted': len(audit.spent),
         'overdraft': audit.worst_overdraft(),
+        'spendable_above_bound': sampler.worst,
     }
 
 
--- a/packages/testkit/src/baobabwharf_testkit/limits_sharp.py
+++ b/packages/testkit/src/baobabwharf_testkit/limits_sharp.py
@@ -12,6 +12,7 @@
     vm_regions,
 )
 from baobabwharf_testkit.limits_node import CUSTOMER, LimitNode, Node
+from baobabwharf_testkit.limits_sampler import Sampler
 from baobabwharf_testkit.limits_traffic import Planned, Traffic
 from baobabwharf_testkit.limits_world import Network, World
 
@@ -27,7 +28,6 @@
 # New VMs learn of the new table well before the old ones.
 _TABLE_US = (41 * _S, 51 * _S)
 _END_US = 56 * _S
-_SAMPLE_US = 20_000
 
 
 def run_sharp(seed: int) -> dict[str, Any]:
@@ -48,7 +48,7 @@
     for span_us in _DRAINS_US:
         everywhere.schedule(_flood(span_us))
     _schedule_faults(world, vms)
-    sampler = _Sampler(world, vms, audit)
+    sampler = Sampler(world, vms, audit)
     sampler.sample()
     world.run(_END_US)
     return {
@@ -59,26 +59,6 @@
     }
 
 
-class _Sampler:
-    """Compare what the fleet could hand out at once with what it may."""
-
-    def __init__(self, world: World, vms: list[Node], audit: Audit) -> None:
-        self._world = world
-        self._vms = vms
-        self._audit = audit
-        self.worst = 0
-
-    def sample(self) -> None:
-        spendable = sum(
-            node.spendable()
-            for node in self._vms
-            if isinstance(node, LimitNode)
-        )
-        excess = spendable - self._audit.level_at(self._world.now_us)
-        self.worst = max(self.worst, excess)
-        self._world.after(_SAMPLE_US, self.sample)
-
-
 def _restart_with(vms: list[Node], config: Any) -> None:
     for node in vms:
         if isinstance(node, LimitNode):
