--- a/packages/daemon/src/baobabwharf_daemon/gateway/sink.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/sink.py
@@ -18,6 +18,7 @@
 _JSON = 'application/json'
 # A caller that reads nothing for this long is treated as gone.
 WRITE_STALL_S = 60
+ANSWER_LINGER_S = 1
 # sanic stops to accept data above this bound.
 WRITE_BUFFER_BYTES = 64 * 1024
 
@@ -30,6 +31,7 @@
         # The type of sanic's stream hides most of its members.
         self._request: Any = request
         self._response: Any = None
+        self._written = False
 
     @property
     def began(self) -> bool:
@@ -50,9 +52,15 @@
 
     async def finish(self, chunk: bytes) -> None:
         """Send the last part of a streamed answer and its end."""
+        if not self._written:
+            # sanic would state a length instead of sending chunks; a stream
+            # keeps one form whether its events came together or apart.
+            await self.write(chunk)
+            chunk = b''
         await self._send(chunk, last=True)
 
     async def _send(self, chunk: bytes, *, last: bool) -> None:
+        self._written = True
         transport = self._request.transport
         if transport.get_write_buffer_size() <= WRITE_BUFFER_BYTES:
             await self._response.send(chunk, last)
@@ -89,6 +97,15 @@
         if stream is not None:
             stream.keep_alive = False
 
+    def close_soon(self) -> None:
+        """Close the connection without the rest of the request body.
+
+        sanic would wait for that rest; the caller has time to read the answer.
+        """
+        self.close_after_answer()
+        loop = asyncio.get_running_loop()
+        loop.call_later(ANSWER_LINGER_S, self._request.transport.close)
+
 
 def refusal_response(refusal: Refusal, request_id: str) -> HTTPResponse:
     """Count a refusal and return it as a response."""
