Consensus: do not gossip the withdrawals of the past

Cause: a VM that takes a whole state, or reconnects to its upstream, told all tombstones in it to the gossip as if they were new. Change: only withdrawals of single changes and urgent ones are told on. Waiters look for overwritten entries only when a term begins.

--- a/packages/daemon/src/baobabwharf_daemon/config_feed.py
+++ b/packages/daemon/src/baobabwharf_daemon/config_feed.py
@@ -58,7 +58,7 @@
         event = asyncio.Event()
         self._wakes.add(event)
         revision = request.revision
-        sent: frozenset[bytes] = frozenset()
+        sent: frozenset[bytes] | None = None
         while True:
             event.clear()
             items = self._newer(revision, sent)
@@ -68,13 +68,16 @@
             yield WatchReply(tuple(items))
             await _wait(event)
 
-    def _newer(self, revision: int, sent: frozenset[bytes]) -> list[WatchItem]:
+    def _newer(
+        self, revision: int, sent: frozenset[bytes] | None
+    ) -> list[WatchItem]:
         if not self._copy.ready:
             return []
-        fresh = self._copy.tombstones - sent
+        fresh = self._copy.tombstones - (sent or frozenset())
         items: list[WatchItem] = []
         if fresh:
-            items.append(Withdrawals(tuple(sorted(fresh))))
+            urgent = sent is not None
+            items.append(Withdrawals(tuple(sorted(fresh)), urgent))
         if self._copy.config.revision > revision:
             items.extend(self._deltas(revision) or [self._whole()])
         newest = self._copy.config.revision
--- a/packages/daemon/src/baobabwharf_daemon/follower_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/follower_task.py
@@ -117,9 +117,11 @@
         """Take the applied state of the own replica."""
         if not self._copy.offer(config):
             return
-        if change is not None:
+        if change is None:
+            self._spread(urgent=False)
+        else:
             self._feed.note_change(change.revision, change.change)
-        self._spread()
+            self._spread()
 
     def register(self, server: RpcServer) -> None:
         """Serve watchers; call before the listener starts."""
@@ -143,7 +145,8 @@
     def take(self, item: WatchItem) -> bool:
         """Take an item; return false when the stream must be renewed."""
         if isinstance(item, Withdrawals):
-            self.accept_withdrawals(item.digests)
+            self._copy.withdraw(item.digests)
+            self._spread(urgent=item.urgent)
         elif isinstance(item, ConfigSnapshot):
             self._take_snapshot(item)
         elif isinstance(item, ConfigDelta):
@@ -155,7 +158,7 @@
     def _take_snapshot(self, item: ConfigSnapshot) -> None:
         self._copy.withdraw(item.tombstones)
         self._copy.offer(item.config)
-        self._spread()
+        self._spread(urgent=False)
 
     def _take_delta(self, item: ConfigDelta) -> bool:
         if item.revision <= self._copy.config.revision:
@@ -170,7 +173,8 @@
         if item.revision == self._copy.config.revision:
             self._confirmed_ms = self._clock.now_ms() - item.age_ms
 
-    def _spread(self) -> None:
+    def _spread(self, *, urgent: bool = True) -> None:
+        # A whole state holds all withdrawals of the past, which are no news.
         REVISION.set({}, self._copy.config.revision)
         for queue in self._queues:
             if queue.full():
@@ -178,7 +182,7 @@
             queue.put_nowait(self._copy.config)
         fresh = self._copy.tombstones - self._told
         self._told = self._copy.tombstones
-        if fresh:
+        if fresh and urgent:
             for listener in self._listeners:
                 listener(fresh)
         self._feed.wake()
--- a/packages/daemon/src/baobabwharf_daemon/replica_messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_messages.py
@@ -126,9 +126,10 @@
 
 
 class Withdrawals(_WatchItem, frozen=True, tag=True):
-    """Carry digests of withdrawn keys ahead of the log."""
+    """Carry digests of withdrawn keys; urgent ones come ahead of the log."""
 
     digests: tuple[bytes, ...]
+    urgent: bool
 
 
 class Confirmation(_WatchItem, frozen=True, tag=True):
--- a/packages/daemon/src/baobabwharf_daemon/replica_waiters.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_waiters.py
@@ -23,6 +23,7 @@
         self._waiting: dict[LogIndex, _Waiter] = {}
         self._reads: dict[int, asyncio.Future[bool]] = {}
         self._last_read = 0
+        self._newest_term = Term(0)
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -59,6 +60,9 @@
         if own is not None and own.term == term:
             self._waiting.pop(index)
             _settle(own.future, ProposeReply(ReplyKind.ANSWERED, answer))
+        if term <= self._newest_term:
+            return
+        self._newest_term = term
         overwritten = [
             waiting
             for waiting, known in self._waiting.items()
