--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -7,6 +7,7 @@
 from baobabwharf_core.clock import Clock
 from baobabwharf_decisions.consensus.messages import CoreStatus
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.formation import Formation
 from baobabwharf_daemon.leader_duties import LeaderDuties
 from baobabwharf_daemon.log import get_logger
@@ -106,10 +107,10 @@
     async def start(self) -> None:
         """Begin to form or rejoin the group; does not wait for it."""
         self._loops = [
-            asyncio.create_task(self._run_replica()),
-            asyncio.create_task(self._engine.write_forever()),
-            asyncio.create_task(_repeat(self._tick, _TICK_S)),
-            asyncio.create_task(_repeat(self._duties.work, _DUTY_S)),
+            spawn(self._run_replica()),
+            spawn(self._engine.write_forever()),
+            spawn(_repeat(self._tick, _TICK_S)),
+            spawn(_repeat(self._duties.work, _DUTY_S)),
         ]
 
     async def stop(self) -> None:
--- a/packages/daemon/src/baobabwharf_daemon/follower_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/follower_task.py
@@ -13,6 +13,7 @@
 
 from baobabwharf_daemon.address_book import AddressBook
 from baobabwharf_daemon.config_feed import ConfigFeed
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.following import Following, ItemSink
 from baobabwharf_daemon.interfaces import ConfigSource
 from baobabwharf_daemon.log import get_logger
@@ -134,7 +135,7 @@
 
     async def start(self) -> None:
         """Begin to follow."""
-        self._loop = asyncio.create_task(self._following.run_forever())
+        self._loop = spawn(self._following.run_forever())
 
     async def stop(self) -> None:
         """Stop to follow."""
--- a/packages/daemon/src/baobabwharf_daemon/replica_engine.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_engine.py
@@ -23,6 +23,7 @@
 )
 from expression import Error, Ok, Result
 
+from baobabwharf_daemon.defects import stops_on_defect
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.replica_files import Recovered
 from baobabwharf_daemon.replica_links import ReplicaLinks
@@ -91,7 +92,9 @@
 
     def tick(self) -> None:
         """Let time pass."""
-        if self._core is not None:
+        if self._core is None:
+            return
+        with stops_on_defect():
             self._core.tick(self._clock.now_ms())
             self.pump()
 
@@ -99,9 +102,9 @@
         """Handle messages of another replica."""
         if self._core is None:
             return
-        for message in messages:
-            self._core.receive(message, self._clock.now_ms())
-        self.pump()
+        with stops_on_defect():
+            self._receive_all(self._core, messages)
+            self.pump()
 
     def pump(self) -> None:
         """Carry out what the core asks for."""
@@ -133,6 +136,10 @@
         self._writer.forget()
         self._waiters.fail_all()
 
+    def _receive_all(self, core: RaftCore, messages: Iterable[Message]) -> None:
+        for message in messages:
+            core.receive(message, self._clock.now_ms())
+
     def _start_core(self, vm_id: VmId, found: Recovered) -> None:
         self._machine.restore(found.snapshot.payload)
         self._applied = found.snapshot.last_index
@@ -166,8 +173,9 @@
             _log.error('Replica stops: %s', written.error)
             self.suspend()
             return
-        self._core.synced(written.ok, self._clock.now_ms())
-        self.pump()
+        with stops_on_defect():
+            self._core.synced(written.ok, self._clock.now_ms())
+            self.pump()
 
     def _restore(self, snapshot: Snapshot) -> None:
         self._machine.restore(snapshot.payload)
