--- a/features/unit/consensus_schedule.feature
+++ b/features/unit/consensus_schedule.feature
@@ -8,8 +8,9 @@
     When 200 consensus schedules from seed 1 run with the fault "none"
     Then no consensus check is broken
 
-  # Found by a run of 10,000 seeds: rejected heartbeats overruled the probe of a
-  # follower for ever.
+  # Rejected heartbeats overruled the probe of a follower for ever in 100841 and
+  # 102360; the latter still meets that fault since schedules have changed.
+  # 203338 has a split vote right after the faults.
   Scenario Outline: Seeds that once failed
     When 1 consensus schedules from seed <seed> run with the fault "none"
     Then no consensus check is broken
@@ -18,6 +19,7 @@
       | seed   |
       | 100841 |
       | 102360 |
+      | 203338 |
 
   Scenario: Equal seeds replay exactly
     When 6 consensus schedules from seed 1 run with the fault "none"
