--- a/features/unit/consensus_schedule.feature
+++ b/features/unit/consensus_schedule.feature
@@ -31,8 +31,8 @@
 
     Examples:
       | fault                 | seeds | check                       |
-      | ack-before-sync       | 80    | leader completeness         |
+      | ack-before-sync       | 40    | leader completeness         |
       | no-pre-vote           | 20    | undisturbed leader          |
       | vote-not-persisted    | 200   | election safety             |
-      | stale-read            | 40    | linearisable reads          |
+      | stale-read            | 20    | linearisable reads          |
       | old-revision-accepted | 4     | configuration never reverts |
