--- a/features/unit/consensus_schedule.feature
+++ b/features/unit/consensus_schedule.feature
@@ -33,6 +33,6 @@
       | fault                 | seeds | check                       |
       | ack-before-sync       | 40    | leader completeness         |
       | no-pre-vote           | 20    | undisturbed leader          |
-      | vote-not-persisted    | 200   | election safety             |
+      | vote-not-persisted    | 20    | election safety             |
       | stale-read            | 20    | linearisable reads          |
       | old-revision-accepted | 4     | configuration never reverts |
