Do not count callers that go away as failures of an endpoint

Cause: a disconnected caller ended its attempt as failed; five in a row eject a healthy endpoint. Found by reading the router against the gateway. Change: cancelled attempts release their room through attempt_cancelled; forwarded requests are reported as ended, before they counted for two mean times; a retry is counted once, by its refusal code, before it was counted by the router and by the gateway.

--- a/features/functional/gateway_callers.feature
+++ b/features/functional/gateway_callers.feature
@@ -22,6 +22,7 @@
     Given a gateway VM with endpoints "<faulty>, sound"
     When the gateway is asked for a <kind> answer of 6 tokens
     Then the gateway gave the whole answer of 6 tokens
+    And the gateway counted one retry
     And the gateway charged 6 output tokens
 
     Examples:
--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -132,6 +132,8 @@
         self.remote = None
         self.facts = []
         self.outcomes = []
+        self.cancelled = []
+        self.forwards_ended = []
         self.admitted = 0
 
     def choose_region(self, facts):
@@ -150,6 +152,12 @@
     def attempt_ended(self, facts, outcome):
         self.outcomes.append(outcome)
 
+    def attempt_cancelled(self, facts, endpoint_id):
+        self.cancelled.append(endpoint_id)
+
+    def forward_ended(self, request_id):
+        self.forwards_ended.append(request_id)
+
     def may_retry(self, facts, outcome, attempt):
         if attempt > 2:
             return Error(Refusal(RefusalCode.RETRY_BUDGET_EMPTY))
--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -24,6 +24,7 @@
     ((request, body),) = subject.endpoint.seen
     assert KEY not in str(request.headers) and KEY.encode() not in body
     facts = subject.vm.router.facts[0]
+    assert subject.vm.router.forwards_ended == [facts.request_id]
     assert facts.hop == 0
     record = subject.vms[1].gateway
     assert record is not None
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/serving.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/serving.py
@@ -105,7 +105,7 @@
             return True
         choice = admitted.ok
         if progress.tokens and not choice.can_resume:
-            self._release(choice)
+            self._router.attempt_cancelled(self._call.facts, choice.endpoint_id)
             return True
         ended = await self._attempt(choice, number, sink, record, progress)
         self._refusal = ended.refusal
@@ -164,23 +164,13 @@
         try:
             ended = await run.run(sink, record)
         except BaseException:
-            self._router.attempt_ended(facts, run.outcome(False))
+            # A caller that goes away is no failure of the endpoint: counted
+            # as one, five of them in a row would eject it.
+            self._router.attempt_cancelled(facts, choice.endpoint_id)
             raise
         self._router.attempt_ended(facts, ended.outcome)
         return ended
 
-    def _release(self, choice: EndpointChoice) -> None:
-        unused = AttemptRun(
-            self._client,
-            self._clock,
-            self._call,
-            Attempt('', choice, 0),
-            Progress(),
-        )
-        self._router.attempt_ended(
-            self._call.facts, unused.outcome(False, sent=False)
-        )
-
     async def _may_repeat(self, ended: Ended, attempt: int, sink: Sink) -> bool:
         assert ended.refusal is not None
         facts = self._call.facts
--- a/packages/daemon/src/baobabwharf_daemon/gateway/pipeline.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/pipeline.py
@@ -136,9 +136,12 @@
         if choice.vm_id is None:
             return await self._serving.serve(call, sink, record, progress)
         record.step('send')
-        return await self._forwarder.forward(
-            call, choice, sink, record, progress
-        )
+        try:
+            return await self._forwarder.forward(
+                call, choice, sink, record, progress
+            )
+        finally:
+            self._router.forward_ended(call.facts.request_id)
 
 
 def _elsewhere(refusal: Refusal, progress: Progress) -> bool:
--- a/packages/daemon/src/baobabwharf_daemon/interfaces.py
+++ b/packages/daemon/src/baobabwharf_daemon/interfaces.py
@@ -162,6 +162,16 @@
     ) -> None:
         """Release the room of an attempt and learn from its outcome."""
 
+    @abc.abstractmethod
+    def attempt_cancelled(
+        self, facts: RequestFacts, endpoint_id: EndpointId
+    ) -> None:
+        """Release the room of an attempt that says nothing of its endpoint."""
+
+    @abc.abstractmethod
+    def forward_ended(self, request_id: RequestId) -> None:
+        """Count a request that was forwarded to another VM as ended."""
+
     @abc.abstractmethod
     def may_retry(
         self, facts: RequestFacts, outcome: AttemptOutcome, attempt: int
--- a/packages/daemon/src/baobabwharf_daemon/router.py
+++ b/packages/daemon/src/baobabwharf_daemon/router.py
@@ -31,7 +31,6 @@
     Router,
 )
 from baobabwharf_daemon.lanes import WaitingRoom
-from baobabwharf_daemon.metrics import RETRIES
 
 
 @final
@@ -137,7 +136,7 @@
     def attempt_cancelled(
         self, facts: RequestFacts, endpoint_id: EndpointId
     ) -> None:
-        """Release the room of an attempt whose caller has gone."""
+        """Release the room of an attempt that says nothing of its endpoint."""
         now_ms = self._clock.now_ms()
         self._directory.release(endpoint_id, now_ms)
         self._regions.flights.end(facts.request_id)
@@ -162,7 +161,6 @@
             self._refused(facts, answer.error)
             return answer
         reason = 'failed' if outcome.sent else 'not_sent'
-        RETRIES.inc({'reason': reason})
         detail = f'backoff {answer.ok} ms'
         self._note(facts, DecisionKind.RETRIED, reason, detail)
         return answer
