Run the fleet scenarios over TLS and remove files of passing runs

Cause: TLS between VMs and to callers was not run by any test, and soak runs left their logs behind.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -79,7 +79,7 @@
 
     def close(self) -> None:
         try:
-            self.run(self.small.fleet.stop())
+            self.run(self.small.stop())
         finally:
             self.small.fleet.kill_all()
             self.loop.close()
--- a/packages/testkit/src/baobabwharf_testkit/small_fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -1,5 +1,6 @@
 """Run a small fleet behind fault proxies for functional tests."""
 
+import shutil
 import tempfile
 from pathlib import Path
 
@@ -44,7 +45,7 @@
 
 
 class SmallFleet:
-    """Own four VMs in three regions; the last region has no endpoints."""
+    """Own four VMs with TLS in three regions, the last without endpoints."""
 
     def __init__(self, seed: int) -> None:
         vms = tuple(
@@ -53,9 +54,13 @@
         )
         diskless = VmPlan(f'{FIRST}-vm2', FIRST, f'{FIRST}-z2')
         plan = FleetPlan(
-            vms=(*vms, diskless), link=LinkPlan(delay_ms=5.0), proxied=True
+            vms=(*vms, diskless),
+            link=LinkPlan(delay_ms=5.0),
+            proxied=True,
+            tls=True,
         )
         folder = Path(tempfile.mkdtemp(prefix='baobabwharf-fleet-'))
+        self._folder = folder
         self._fleet = Fleet(plan, folder, seed)
         self._seed = seed
         self._keys: list[str] = []
@@ -77,6 +82,11 @@
             self._fleet.add_endpoint(service_plan(ROTAWEN, region))
         await self._fleet.wait_registered(*self._fleet.endpoints)
 
+    async def stop(self) -> None:
+        """Stop everything and remove the files."""
+        await self._fleet.stop()
+        shutil.rmtree(self._folder, ignore_errors=True)
+
     async def customer(
         self, name: str, *residency: str, rate: int = _RATE
     ) -> str:
@@ -177,8 +187,9 @@
     async def listed(self, vm_id: str) -> list[str]:
         """Return the ids of the entry VMs that a VM lists."""
         url = f'{self._fleet.vms[vm_id].url}/v1/entry-vms'
+        connector = aiohttp.TCPConnector(ssl=self._fleet.files.context)
         async with (
-            aiohttp.ClientSession() as session,
+            aiohttp.ClientSession(connector=connector) as session,
             session.get(url) as answer,
         ):
             document = await answer.json()
--- a/packages/testkit/src/baobabwharf_testkit/soak.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import shutil
 import sys
 import tempfile
 import time
@@ -204,8 +205,12 @@
     for sentence in soak.violations:
         print(f'VIOLATION: {sentence}')
     count = len(soak.violations)
-    print(f'Seed {seed}: {count} violations; logs in {folder}.')
-    return 1 if count else 0
+    print(f'Seed {seed}: {count} violations.')
+    if count:
+        print(f'The logs are in {folder}.')
+        return 1
+    shutil.rmtree(folder, ignore_errors=True)
+    return 0
 
 
 def main() -> int:
