Begin the fleet scenarios once all VMs list the model

Cause: the first scenario met model_unknown in one of three runs, since it asked at a VM of another region right after the engine announced itself. Ruled out: a fault of routing; the summary of a region is published twice a second, and callers choose from GET /v1/models. Change: the small fleet waits up to 5 s until all VMs list the model, and fails otherwise.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -23,7 +23,7 @@
 
 _SEED = 11
 _SETTLE_S = 20
-_FLOOD_S = 4
+_FLOOD_S = 3
 _FLOOD_RATE = 300
 # Clients of 4 VMs, each with this many calls at once.
 _FLOOD_EACH = 3
--- a/packages/testkit/src/baobabwharf_testkit/readiness.py
+++ b/packages/testkit/src/baobabwharf_testkit/readiness.py
@@ -28,7 +28,10 @@
 
 
 async def wait_until_ready(
-    probes: list[Probe], context: ssl.SSLContext | bool, timeout_ms: int
+    probes: list[Probe],
+    context: ssl.SSLContext | bool,
+    timeout_ms: int,
+    key: str = '',
 ) -> None:
     """Poll until all probes succeed; raise FleetError after the timeout."""
     loop = asyncio.get_running_loop()
@@ -36,6 +39,7 @@
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(ssl=context),
         timeout=aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S),
+        headers={'Authorization': f'Bearer {key}'} if key else None,
     ) as session:
         waiting = await _unready(session, probes)
         while waiting:
--- a/packages/testkit/src/baobabwharf_testkit/small_fleet.py
+++ b/packages/testkit/src/baobabwharf_testkit/small_fleet.py
@@ -37,10 +37,13 @@
 from baobabwharf_testkit.fleet_setup import make_change, set_up_services
 from baobabwharf_testkit.load import Caller, EntryVms
 from baobabwharf_testkit.operator_client import digest, new_key
+from baobabwharf_testkit.readiness import Probe, wait_until_ready
 
 FIRST, SECOND, EMPTY = ROTAWEN.regions
 _RATE = 100_000
 _TOKENS_PER_S = 60.0
+# New endpoints are known in all regions within seconds.
+_MODELS_MS = 5000
 _CONFIG_PATH = '/operator/v1/config'
 
 
@@ -81,6 +84,7 @@
             self._fleet.add_endpoint(plan)
             self._fleet.add_endpoint(service_plan(ROTAWEN, region))
         await self._fleet.wait_registered(*self._fleet.endpoints)
+        await self._wait_for_models()
 
     async def stop(self) -> None:
         """Stop everything and remove the files."""
@@ -184,6 +188,16 @@
             if request.request_id == request_id
         ]
 
+    async def _wait_for_models(self) -> None:
+        """Wait until all VMs list the model, as a caller would."""
+        key = await self.customer('start')
+        probes = [
+            Probe(f'{vm.url}/v1/models', vm.process, 'data')
+            for vm in self._fleet.vms.values()
+        ]
+        context = self._fleet.files.context
+        await wait_until_ready(probes, context, _MODELS_MS, key)
+
     async def listed(self, vm_id: str) -> list[str]:
         """Return the ids of the entry VMs that a VM lists."""
         url = f'{self._fleet.vms[vm_id].url}/v1/entry-vms'
