--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -23,7 +23,7 @@
 
 _SEED = 11
 _SETTLE_S = 20
-_FLOOD_S = 4
+_FLOOD_S = 3
 _FLOOD_RATE = 300
 # Clients of 4 VMs, each with this many calls at once.
 _FLOOD_EACH = 3
@@ -79,7 +79,7 @@
 
     def close(self) -> None:
         try:
-            self.run(self.small.fleet.stop())
+            self.run(self.small.stop())
         finally:
             self.small.fleet.kill_all()
             self.loop.close()
