Check hop and charge of the gateway against what was sent

Cause: the step for hop 1 ended in a check that could not fail, and the step for the charge ignored its number. Change: the serving VM's facts must have hop 1 and the entry VM as origin; the charge must be the prompt's estimate plus the named tokens.

--- a/features/steps/gateway_callers.py
+++ b/features/steps/gateway_callers.py
@@ -149,8 +149,10 @@
 
 @then('the gateway charged {count:d} output tokens')
 def charged(context, count):
-    ((reserved, used),) = context.subject.vm.limits.settled
-    assert used == reserved, (reserved, used)
+    vm = context.subject.vm
+    ((reserved, used),) = vm.limits.settled
+    facts = vm.router.facts[0]
+    assert used == facts.prompt_tokens + count <= reserved, (reserved, used)
 
 
 @then('the gateway gave the error "{code}" with executed "{executed}"')
--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -132,7 +132,7 @@
         self.remote = None
         self.facts = []
         self.outcomes = []
-        self.admitted = 0
+        self.admitted = []
 
     def choose_region(self, facts):
         self.facts.append(facts)
@@ -143,7 +143,7 @@
     async def admit(self, facts, excluded):
         for choice in self.endpoints:
             if choice.endpoint_id not in excluded:
-                self.admitted += 1
+                self.admitted.append(facts)
                 return Ok(choice)
         return Error(Refusal(RefusalCode.NO_ENDPOINT, retry_after_ms=700))
 
--- a/features/steps/gateway_forwarding.py
+++ b/features/steps/gateway_forwarding.py
@@ -23,10 +23,9 @@
     assert not subject.vms[1].router.facts
     ((request, body),) = subject.endpoint.seen
     assert KEY not in str(request.headers) and KEY.encode() not in body
-    facts = subject.vm.router.facts[0]
-    assert facts.hop == 0
-    record = subject.vms[1].gateway
-    assert record is not None
+    assert [facts.hop for facts in subject.vm.router.facts] == [0]
+    (facts,) = subject.vms[1].router.admitted
+    assert (facts.hop, facts.origin_vm) == (1, 'vm1')
 
 
 def call_with(**fields):
