--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -134,7 +134,7 @@
         self.outcomes = []
         self.cancelled = []
         self.forwards_ended = []
-        self.admitted = 0
+        self.admitted = []
 
     def choose_region(self, facts):
         self.facts.append(facts)
@@ -145,7 +145,7 @@
     async def admit(self, facts, excluded):
         for choice in self.endpoints:
             if choice.endpoint_id not in excluded:
-                self.admitted += 1
+                self.admitted.append(facts)
                 return Ok(choice)
         return Error(Refusal(RefusalCode.NO_ENDPOINT, retry_after_ms=700))
 
