Send heartbeats of idle replicas every 250 ms

Cause: an idle VM with a disk spent 4.4 to 5.7% of a core, against 1.75 to 1.9% on a VM without one and a target of 1.4%. A profile showed the calls of heartbeats, 40 a second at the leader. Ruled out: slower spreading of commits, which are announced at once. Change: the daemon asks for a heartbeat every 250 ms and ticks every 50 ms; four heartbeats fit into an election timeout. The core's defaults stay.

--- a/packages/daemon/src/baobabwharf_daemon/consensus_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_parts.py
@@ -28,6 +28,10 @@
 from baobabwharf_daemon.task import Task
 
 _FOLDER = 'raft'
+# Four heartbeats fit into an election timeout.  Each one costs a call over
+# gRPC at both ends, which is most of the work of an idle replica; a commit is
+# announced at once and does not wait for the next heartbeat.
+_HEARTBEAT_MS = 250
 
 
 class ConsensusParts(msgspec.Struct, frozen=True):
@@ -70,7 +74,7 @@
     """
     book = AddressBook(settings, live_vms)
     means = _Means(
-        settings, clock, generator, client, book, options or Options()
+        settings, clock, generator, client, book, options or Options(heartbeat_ms=_HEARTBEAT_MS)
     )
     ages: list[ConsensusTask] = []
     follower = FollowerTask(book, client, clock, lambda: _own_age(ages, clock))
--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -35,12 +35,12 @@
 from baobabwharf_daemon.rpc import RpcServer
 from baobabwharf_daemon.task import Task
 
-_TICK_S = 0.02
+_TICK_S = 0.05
 _DUTY_S = 1.0
 _RELOAD_S = 1.0
 # Shorter than the caller's timeout, so that it learns what is known.
 _SUBMIT_TIMEOUT_S = 1.5
-_HAND_OVER_POLLS = 50
+_HAND_OVER_POLLS = 20
 
 _log = get_logger('consensus')
 
