--- a/features/unit/command_line.feature
+++ b/features/unit/command_line.feature
@@ -19,6 +19,7 @@
       | apply missing.json --expect-revision 1           |
       | apply missing.json                               |
       | no-such-command                                  |
+      | vm remove                                        |
       | customer list --no-such-option                   |
       | customer set-cap a --rate 1 --burst 1 --expect-revision x |
 
@@ -52,6 +53,12 @@
     Then the command line ends with code 0
     And the operator stand-in received 2 calls with one request id
 
+  Scenario: A VM that is gone for good is removed by one change
+    Given an operator stand-in that answers status 200 with code accepted
+    When the operator runs "vm remove a"
+    Then the command line ends with code 0
+    And the operator stand-in received 1 calls
+
   Scenario: A key is made here and only its digest is sent
     Given an operator stand-in that answers status 200 with code accepted
     When the operator runs "key create a --json"
--- a/packages/cli/src/baobabwharf_cli/main.py
+++ b/packages/cli/src/baobabwharf_cli/main.py
@@ -28,6 +28,7 @@
 from baobabwharf_cli.routes import ListRoutesCommand, SetRouteCommand
 from baobabwharf_cli.targets import ListTargetsCommand, SetTargetCommand
 from baobabwharf_cli.tls import TlsCommand
+from baobabwharf_cli.vms import RemoveVmCommand
 
 COMMANDS = (
     CreateCustomerCommand,
@@ -50,6 +51,7 @@
     StatusCommand,
     EventsCommand,
     ExplainCommand,
+    RemoveVmCommand,
     TlsCommand,
 )
 
--- /dev/null
+++ b/packages/cli/src/baobabwharf_cli/vms.py
@@ -0,0 +1,19 @@
+"""Remove VMs that have stopped for good."""
+
+from baobabwharf_core.changes import Change, RemoveVm
+from baobabwharf_core.ids import VmId
+from cleo.helpers import argument
+
+from baobabwharf_cli.command import ChangeCommand
+
+
+class RemoveVmCommand(ChangeCommand):
+    """Remove a VM; its id can not be used again."""
+
+    name = 'vm remove'
+    description = 'Remove a VM that has stopped for good.'
+    arguments = [argument('vm', 'Id of the VM.')]
+
+    def change(self) -> Change:
+        """Return the change that removes the VM."""
+        return RemoveVm(VmId(self.argument('vm')))
