Run the demo over TLS

Cause: the private authority was made by a command that nothing used end to end outside of tests. Change: callers, operators, endpoints and VMs of the demo use certificates of its own authority; fleet.json names the certificate of the authority.

--- a/packages/testkit/src/baobabwharf_testkit/demo.py
+++ b/packages/testkit/src/baobabwharf_testkit/demo.py
@@ -72,7 +72,7 @@
     """Run the steps of the demo on one fleet."""
 
     def __init__(self, folder: Path) -> None:
-        plan = FleetPlan(vms=region_vms(_REGIONS), link=ROTAWEN.link)
+        plan = FleetPlan(vms=region_vms(_REGIONS), link=ROTAWEN.link, tls=True)
         self._fleet = Fleet(plan, folder, _SEED)
         self._customers: list[CustomerPlan] = []
         self._keys: dict[str, str] = {}
