Describe VMs in one module; stop on a defect in any loop

Cause: four copies built the record of a VM from the settings, and the loops of routing, membership, lending, status and HTTP ended silently on an exception, while those of consensus stopped the process. Change: vm_records holds the two functions; every loop that must not end is started by defects.spawn; a broken invariant stops the process by the same function, with its stack in the log.

--- a/packages/daemon/src/baobabwharf_daemon/address_book.py
+++ b/packages/daemon/src/baobabwharf_daemon/address_book.py
@@ -3,10 +3,11 @@
 from collections.abc import Callable, Iterable
 from typing import final
 
-from baobabwharf_core.ids import RegionId, VmId, ZoneId
+from baobabwharf_core.ids import VmId
 from baobabwharf_core.model import VmRecord
 
-from baobabwharf_daemon.settings import Peer, Settings
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.vm_records import own_record, seed_record
 
 LiveVms = Callable[[], Iterable[VmRecord]]
 
@@ -18,7 +19,7 @@
     def __init__(self, settings: Settings, live_vms: LiveVms) -> None:
         self._own = own_record(settings)
         self._first = {
-            VmId(peer.vm_id): _record(peer) for peer in settings.peers
+            VmId(peer.vm_id): seed_record(peer) for peer in settings.peers
         }
         self._live_vms = live_vms
 
@@ -49,28 +50,3 @@
             for vm in self.known().values()
             if vm.has_disk and vm.vm_id != self._own.vm_id
         ]
-
-
-def own_record(settings: Settings) -> VmRecord:
-    """Return the record of this VM as its settings say."""
-    return VmRecord(
-        VmId(settings.vm_id),
-        RegionId(settings.region),
-        ZoneId(settings.zone),
-        settings.data_folder is not None,
-        settings.peer_address,
-        settings.forward_address,
-        settings.caller_url,
-    )
-
-
-def _record(peer: Peer) -> VmRecord:
-    return VmRecord(
-        VmId(peer.vm_id),
-        RegionId(peer.region),
-        ZoneId(peer.zone),
-        peer.has_disk,
-        peer.peer_address,
-        peer.forward_address,
-        peer.caller_url,
-    )
--- a/packages/daemon/src/baobabwharf_daemon/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/app.py
@@ -1,21 +1,20 @@
 """Build all tasks of a daemon, run them and stop them in order."""
 
 import asyncio
-import logging
-import os
 import random
 import signal
 from typing import final
 
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.ids import Incarnation
-from baobabwharf_core.invariants import on_violation
+from baobabwharf_core.invariants import InvariantViolation, on_violation
 from baobabwharf_decisions.membership.items import Summary
 
 from baobabwharf_daemon.consensus_parts import (
     ConsensusParts,
     build_consensus_parts,
 )
+from baobabwharf_daemon.defects import stop_process
 from baobabwharf_daemon.fleet_status import FleetStatus
 from baobabwharf_daemon.gateway_parts import (
     Gateway,
@@ -25,13 +24,13 @@
 from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.operator.events import EventLog
-from baobabwharf_daemon.registration import Registration, own_record
+from baobabwharf_daemon.registration import Registration
 from baobabwharf_daemon.routing_parts import RoutingParts, build_routing
 from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
 from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
+from baobabwharf_daemon.vm_records import own_record
 
-EXIT_BROKEN_INVARIANT = 70
 _REGION_TOPIC = 'region'
 _STATUS_TOPIC = 'status'
 
@@ -199,16 +198,9 @@
         )
 
 
-def _stop_on_violation(sentence: str) -> None:
-    """End the process at once, so that nothing acts on a broken state."""
-    _log.critical('Invariant is broken: %s', sentence, stack_info=True)
-    logging.shutdown()
-    os._exit(EXIT_BROKEN_INVARIANT)
-
-
 async def run_daemon(settings: Settings) -> int:
     """Run one daemon until it is stopped; return the exit code."""
-    on_violation(_stop_on_violation)
+    on_violation(lambda sentence: stop_process(InvariantViolation(sentence)))
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/daemon/src/baobabwharf_daemon/defects.py
+++ b/packages/daemon/src/baobabwharf_daemon/defects.py
@@ -18,7 +18,9 @@
 
 def stop_process(fault: BaseException) -> None:
     """Log a defect and end the process at once."""
-    _log.critical('The process stops on a defect.', exc_info=fault)
+    _log.critical(
+        'The process stops on a defect.', exc_info=fault, stack_info=True
+    )
     os._exit(EXIT_DEFECT)
 
 
--- a/packages/daemon/src/baobabwharf_daemon/fleet_status.py
+++ b/packages/daemon/src/baobabwharf_daemon/fleet_status.py
@@ -11,6 +11,7 @@
 from baobabwharf_core.ids import Revision, VmId
 from baobabwharf_core.model import VmRecord
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.interfaces import (
     ConfigSource,
     MembershipView,
@@ -88,7 +89,7 @@
 
     async def start(self) -> None:
         """Begin to publish."""
-        self._loop = asyncio.create_task(self._publish_forever())
+        self._loop = spawn(self._publish_forever())
 
     async def stop(self) -> None:
         """Stop publishing."""
--- a/packages/daemon/src/baobabwharf_daemon/gateway/assembly.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/assembly.py
@@ -3,15 +3,17 @@
 import asyncio
 import gc
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from sanic import Sanic
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.http_server import HttpServer
 from baobabwharf_daemon.task import Task
 
-Watch = Callable[[], Awaitable[None]]
+Watch = Callable[[], Coroutine[Any, Any, None]]
 _GC_THRESHOLDS = (20_000, 50, 100)
 
 
@@ -41,13 +43,11 @@
 
     def __init__(self, *watchers: Watch) -> None:
         self._watchers = watchers
-        self._tasks: list[asyncio.Future[None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Begin all watches."""
-        self._tasks = [
-            asyncio.ensure_future(watch()) for watch in self._watchers
-        ]
+        self._tasks = [spawn(watch()) for watch in self._watchers]
 
     async def stop(self) -> None:
         """End all watches."""
--- a/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/http_server.py
@@ -10,6 +10,7 @@
 from sanic.exceptions import RequestCancelled, SanicException
 from sanic.handlers import ErrorHandler
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.gateway.errors import (
     count_refusal,
     error_body,
@@ -127,7 +128,7 @@
         await self._server.startup()
         await self._server.before_start()
         await self._server.after_start()
-        self._sweeper = asyncio.ensure_future(self._sweep())
+        self._sweeper = spawn(self._sweep())
 
     async def stop(self) -> None:
         """Stop listening, then close idle connections and the rest."""
--- a/packages/daemon/src/baobabwharf_daemon/lending.py
+++ b/packages/daemon/src/baobabwharf_daemon/lending.py
@@ -21,6 +21,7 @@
 from baobabwharf_decisions.membership import Summary
 from expression import Error, Ok, Result
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.interfaces import ConfigSource, LimitClient
 from baobabwharf_daemon.peers import Peers
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
@@ -218,6 +219,6 @@
             await asyncio.sleep(_TICK_S)
 
     def _spawn(self, job: Coroutine[Any, Any, Any]) -> None:
-        running = asyncio.create_task(job)
+        running = spawn(job)
         self._running.add(running)
         running.add_done_callback(self._running.discard)
--- a/packages/daemon/src/baobabwharf_daemon/peers.py
+++ b/packages/daemon/src/baobabwharf_daemon/peers.py
@@ -6,7 +6,7 @@
 from typing import Any, final
 
 from baobabwharf_core.clock import Clock
-from baobabwharf_core.ids import Incarnation, RegionId, VmId, ZoneId
+from baobabwharf_core.ids import Incarnation, VmId
 from baobabwharf_core.model import VmRecord
 from baobabwharf_decisions.membership import (
     Callbacks,
@@ -19,11 +19,13 @@
 )
 from baobabwharf_decisions.membership.table import DEAD
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.interfaces import ConfigSource, MembershipView
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
-from baobabwharf_daemon.settings import Peer, Settings
+from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
+from baobabwharf_daemon.vm_records import own_record, seed_record
 
 EXCHANGE_PATH = '/baobabwharf.Membership/Exchange'
 _TICK_S = 0.05
@@ -86,7 +88,7 @@
         self.listeners = Listeners()
         self._running: set[asyncio.Task[Any]] = set()
         self._core = MembershipCore(
-            own_record(settings, clock),
+            own_record(settings, Incarnation(clock.wall_ms())),
             tuple(seed_record(peer) for peer in settings.peers),
             Callbacks(
                 self.listeners.tell_tombstone,
@@ -198,33 +200,6 @@
         self.listeners.tell_change()
 
     def _spawn(self, job: Coroutine[Any, Any, Any]) -> None:
-        running = asyncio.create_task(job)
+        running = spawn(job)
         self._running.add(running)
         running.add_done_callback(self._running.discard)
-
-
-def own_record(settings: Settings, clock: Clock) -> VmRecord:
-    """Describe this VM; wall time makes each start a higher incarnation."""
-    return VmRecord(
-        VmId(settings.vm_id),
-        RegionId(settings.region),
-        ZoneId(settings.zone),
-        settings.data_folder is not None,
-        settings.peer_address,
-        settings.forward_address,
-        settings.caller_url,
-        Incarnation(clock.wall_ms()),
-    )
-
-
-def seed_record(peer: Peer) -> VmRecord:
-    """Describe a VM that the settings name."""
-    return VmRecord(
-        VmId(peer.vm_id),
-        RegionId(peer.region),
-        ZoneId(peer.zone),
-        peer.has_disk,
-        peer.peer_address,
-        peer.forward_address,
-        peer.caller_url,
-    )
--- a/packages/daemon/src/baobabwharf_daemon/registration.py
+++ b/packages/daemon/src/baobabwharf_daemon/registration.py
@@ -6,12 +6,12 @@
 
 import msgspec
 from baobabwharf_core.changes import ChangeCode, ChangeRequest, RegisterVm
-from baobabwharf_core.ids import Incarnation, RegionId, RequestId, VmId, ZoneId
+from baobabwharf_core.ids import RequestId
 from baobabwharf_core.model import VmRecord
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.interfaces import ChangeClient, ConfigSource
 from baobabwharf_daemon.log import get_logger
-from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
 
 _log = get_logger('registration')
@@ -22,20 +22,6 @@
 _RETRY_CEILING_S = 5.0
 
 
-def own_record(settings: Settings, incarnation: Incarnation) -> VmRecord:
-    """Return the record of this VM."""
-    return VmRecord(
-        vm_id=VmId(settings.vm_id),
-        region=RegionId(settings.region),
-        zone=ZoneId(settings.zone),
-        has_disk=settings.data_folder is not None,
-        peer_address=settings.peer_address,
-        forward_address=settings.forward_address,
-        caller_url=settings.caller_url,
-        incarnation=incarnation,
-    )
-
-
 @final
 class Registration(Task):
     """Propose the record of this VM until the configuration holds it."""
@@ -55,7 +41,7 @@
 
     async def start(self) -> None:
         """Begin to register."""
-        self._running = asyncio.create_task(self._register())
+        self._running = spawn(self._register())
 
     async def stop(self) -> None:
         """Stop trying to register."""
--- a/packages/daemon/src/baobabwharf_daemon/routing_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/routing_parts.py
@@ -15,6 +15,7 @@
 from baobabwharf_decisions.routing import RegionRouter
 from baobabwharf_decisions.summaries import RegionSummary, summarise
 
+from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.interfaces import (
     ConfigSource,
     MembershipView,
@@ -115,7 +116,7 @@
             (self._registry.sync, _SYNC_S),
             (self._slow_tick, _SLOW_TICK_S),
         ):
-            timer = asyncio.create_task(_repeat(job, period_s))
+            timer = spawn(_repeat(job, period_s))
             self._timers.append(timer)
 
     async def stop(self) -> None:
