--- a/features/steps/routing_runs.py
+++ b/features/steps/routing_runs.py
@@ -547,7 +547,7 @@
         group = GroupSummary('chat', 'm', 20, 0, 1000.0, 0.1)
         summary = RegionSummary('b', self.number, 1, (group,))
         self.router.on_summary(summary, now_ms)
-        self.router.flights.expire(now_ms)
+        self.router.in_flight.expire(now_ms)
         home = HomeView(True, 3000.0, 3000.0)
         facts = crowd_facts(self.number)
         choice = self.router.choose(facts, home, self.peers, 1.0, now_ms)
--- a/packages/daemon/src/baobabwharf_daemon/lanes.py
+++ b/packages/daemon/src/baobabwharf_daemon/lanes.py
@@ -16,7 +16,7 @@
 
 
 @final
-class WaitingRoom:
+class PlacementWaiters:
     """Hold one future for each waiting request."""
 
     def __init__(
--- a/packages/daemon/src/baobabwharf_daemon/router.py
+++ b/packages/daemon/src/baobabwharf_daemon/router.py
@@ -30,7 +30,7 @@
     MembershipView,
     Router,
 )
-from baobabwharf_daemon.lanes import WaitingRoom
+from baobabwharf_daemon.lanes import PlacementWaiters
 
 
 @final
@@ -55,7 +55,7 @@
         self._config = config
         self._membership = membership
         self._lanes = LaneSet(region, directory, rng)
-        self._waiting = WaitingRoom(clock, directory, self._lanes)
+        self._waiting = PlacementWaiters(clock, directory, self._lanes)
         self._log = DecisionLog()
         self._budgets: dict[ServiceId, RetryBudget] = defaultdict(RetryBudget)
         self._deadlines = Deadlines()
@@ -123,7 +123,7 @@
         """Release the room of an attempt and learn from its outcome."""
         now_ms = self._clock.now_ms()
         self._directory.ended(outcome, now_ms)
-        self._regions.flights.end(facts.request_id)
+        self._regions.in_flight.end(facts.request_id)
         self._lanes.correct(facts, outcome)
         if outcome.succeeded:
             self._deadlines.forget(facts.request_id)
@@ -139,13 +139,13 @@
         """Release the room of an attempt that says nothing of its endpoint."""
         now_ms = self._clock.now_ms()
         self._directory.release(endpoint_id, now_ms)
-        self._regions.flights.end(facts.request_id)
+        self._regions.in_flight.end(facts.request_id)
         self._deadlines.forget(facts.request_id)
         self._waiting.pump(facts.service)
 
     def forward_ended(self, request_id: RequestId) -> None:
         """Count a request that was forwarded to another VM as ended."""
-        self._regions.flights.end(request_id)
+        self._regions.in_flight.end(request_id)
 
     def may_retry(
         self, facts: RequestFacts, outcome: AttemptOutcome, attempt: int
@@ -180,7 +180,7 @@
             vm.region == self._region for vm in self._membership.live_vms()
         )
         self._directory.tick(now_ms)
-        self._regions.flights.expire(now_ms)
+        self._regions.in_flight.expire(now_ms)
         self._lanes.relax()
         self._deadlines.expire(now_ms)
 
--- a/packages/decisions/src/baobabwharf_decisions/away.py
+++ b/packages/decisions/src/baobabwharf_decisions/away.py
@@ -81,7 +81,7 @@
         return len(self._times)
 
 
-class Flights:
+class InFlightRequests:
     """Know the running requests that this VM sent to other regions."""
 
     def __init__(self) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/limits/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/core.py
@@ -15,7 +15,7 @@
 )
 from baobabwharf_decisions.limits.shares import ShareBook
 from baobabwharf_decisions.limits.units import MICRO
-from baobabwharf_decisions.limits.waiting import WaitingRoom
+from baobabwharf_decisions.limits.waiting import ReservationQueue
 from baobabwharf_decisions.membership.freeze import FreezeDetector
 
 # Ids of two processes of one VM differ, and fit in 63 bits.
@@ -47,7 +47,7 @@
         )
         self.borrower = Borrower(vm_id, nonce)
         self._ledger = Ledger(self.lender, self.borrower)
-        self._room = WaitingRoom(
+        self._room = ReservationQueue(
             self.lender, self.borrower, self._ledger, self.book
         )
         self._accounts: dict[CustomerId, Account] = {}
--- a/packages/decisions/src/baobabwharf_decisions/limits/waiting.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/waiting.py
@@ -19,7 +19,7 @@
 
 
 @final
-class WaitingRoom:
+class ReservationQueue:
     """Answer requests with tokens or a refusal."""
 
     def __init__(
--- a/packages/decisions/src/baobabwharf_decisions/routing.py
+++ b/packages/decisions/src/baobabwharf_decisions/routing.py
@@ -13,7 +13,7 @@
     LINK_QUEUE_MS,
     AwayAllowance,
     Destination,
-    Flights,
+    InFlightRequests,
     LinkMeter,
     SentRecord,
 )
@@ -103,7 +103,7 @@
         self._reports: dict[RegionId, _Report] = {}
         self._sent: dict[Destination, SentRecord] = {}
         self._allowances: dict[tuple[ServiceId, WorkClass], AwayAllowance] = {}
-        self.flights = Flights()
+        self.in_flight = InFlightRequests()
 
     def groups_elsewhere(self) -> Iterator[tuple[ServiceId, ModelId | None]]:
         """Yield the service and model of each group in the summaries."""
@@ -276,7 +276,7 @@
             return None
         # The other VMs act on the same report and send about as much.
         load = group.requests + sent * share
-        load = max(load, self.flights.count(destination))
+        load = max(load, self.in_flight.count(destination))
         link_ms += facts.body_bytes / link.bytes_per_ms + 2 * link.delay_ms
         first_ms = link_ms + _time_there(group, facts, load)
         return _Offer(region, first_ms)
@@ -296,7 +296,7 @@
         destination = (region, facts.service, facts.model)
         group = self._group(region, facts, now_ms)
         until_ms = now_ms + _flight_ms(group, facts)
-        self.flights.begin(facts.request_id, destination, until_ms)
+        self.in_flight.begin(facts.request_id, destination, until_ms)
         self._sent.setdefault(destination, SentRecord()).sent(now_ms)
         answer_bytes = facts.max_output_tokens * _BYTES_PER_TOKEN
         self._link(region).sent(max(facts.body_bytes, answer_bytes))
--- a/packages/testkit/src/baobabwharf_testkit/fleet_setup.py
+++ b/packages/testkit/src/baobabwharf_testkit/fleet_setup.py
@@ -1,4 +1,4 @@
-"""Create customers, keys, targets and routes through the operators' door."""
+"""Create customers, keys, targets and routes through the operator interface."""
 
 from baobabwharf_core.changes import (
     Change,
--- a/packages/testkit/src/baobabwharf_testkit/policies.py
+++ b/packages/testkit/src/baobabwharf_testkit/policies.py
@@ -198,7 +198,7 @@
         vm.lanes.correct(facts, outcome)
         entry = self.vms[request.region, 0]
         for other in (entry, self.vms[request.region, 1]):
-            other.regions.flights.end(facts.request_id)
+            other.regions.in_flight.end(facts.request_id)
         if outcome.succeeded:
             self.done(request, vm.region)
         else:
@@ -240,7 +240,7 @@
         def slow_tick() -> None:
             now_ms = self.world.sim.clock_ms
             vm.directory.tick(now_ms)
-            vm.regions.flights.expire(now_ms)
+            vm.regions.in_flight.expire(now_ms)
             vm.lanes.relax()
 
         self.world.sim.every(_TICK_MS, tick)
--- a/packages/testkit/src/baobabwharf_testkit/soak.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak.py
@@ -23,7 +23,7 @@
 from baobabwharf_testkit.readiness import FleetError
 from baobabwharf_testkit.soak_clients import Flood, SoakClients
 from baobabwharf_testkit.soak_endpoints import EndpointDisturber
-from baobabwharf_testkit.soak_lane import Lane, Narrator
+from baobabwharf_testkit.soak_lane import EventPrinter, Lane
 from baobabwharf_testkit.soak_operators import SoakOperators
 from baobabwharf_testkit.soak_vms import VmDisturber
 from baobabwharf_testkit.tables import format_table
@@ -54,7 +54,7 @@
             'flooding', ROTAWEN.regions[0], _FLOOD_RATE, _FLOOD_BURST
         )
         self._clients = SoakClients(self._fleet, ROTAWEN, seed)
-        self._narrator = Narrator()
+        self._printer = EventPrinter()
         self._violations: list[str] = []
         self._keys: dict[str, str] = {}
 
@@ -88,7 +88,7 @@
         operators = SoakOperators(
             self._fleet,
             self._plans,
-            self._narrator,
+            self._printer,
             f'{self._seed} operators',
         )
         await self._disturb(seconds, operators)
@@ -122,8 +122,8 @@
     async def _disturb(self, seconds: float, operators: SoakOperators) -> None:
         until_ns = time.monotonic_ns() + int(seconds * _NS_PER_S)
         seed = str(self._seed)
-        vms = VmDisturber(self._fleet, self._narrator, seed)
-        endpoints = EndpointDisturber(self._fleet, self._narrator, seed)
+        vms = VmDisturber(self._fleet, self._printer, seed)
+        endpoints = EndpointDisturber(self._fleet, self._printer, seed)
         if self._planned:
             lanes = [vms.planned_actions(), endpoints.planned_actions()]
         else:
--- a/packages/testkit/src/baobabwharf_testkit/soak_endpoints.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_endpoints.py
@@ -8,7 +8,7 @@
 from baobabwharf_testkit.endpoint_control import FAULTS_PATH
 from baobabwharf_testkit.fleet import Fleet
 from baobabwharf_testkit.fleet_units import EndpointUnit
-from baobabwharf_testkit.soak_lane import Action, Narrator
+from baobabwharf_testkit.soak_lane import Action, EventPrinter
 
 _TIMEOUT_S = 3.0
 _STOP_MS = 20_000
@@ -17,9 +17,9 @@
 class EndpointDisturber:
     """Let endpoints leave, die and answer wrongly."""
 
-    def __init__(self, fleet: Fleet, narrator: Narrator, seed: str) -> None:
+    def __init__(self, fleet: Fleet, printer: EventPrinter, seed: str) -> None:
         self._fleet = fleet
-        self._narrator = narrator
+        self._printer = printer
         self._random = random.Random(seed)
 
     def actions(self) -> list[Action]:
@@ -41,23 +41,23 @@
         """Let an endpoint leave gracefully and return."""
         name = self._random.choice(sorted(self._fleet.endpoints))
         unit = self._fleet.endpoints[name]
-        self._narrator.tell(f'Endpoint {name} leaves.')
+        self._printer.report(f'Endpoint {name} leaves.')
         code = await unit.process.terminate(_STOP_MS)
         if code != 0:
-            self._narrator.tell(f'Endpoint {name} ended with code {code}.')
+            self._printer.report(f'Endpoint {name} ended with code {code}.')
         await self._pause(0.5, 2)
         unit.process.start()
-        self._narrator.tell(f'Endpoint {name} returns.')
+        self._printer.report(f'Endpoint {name} returns.')
 
     async def engine_dies(self) -> None:
         """Kill an engine and start it again."""
         unit = self._draw_engine()
         name = unit.plan.endpoint_id
-        self._narrator.tell(f'Engine {name} is killed.')
+        self._printer.report(f'Engine {name} is killed.')
         unit.process.kill()
         await self._pause(1, 3)
         unit.process.start()
-        self._narrator.tell(f'Engine {name} returns.')
+        self._printer.report(f'Engine {name} returns.')
 
     async def late_answers(self) -> None:
         """Let an endpoint answer late."""
@@ -79,14 +79,14 @@
         name = self._random.choice(sorted(self._fleet.endpoints))
         unit = self._fleet.endpoints[name]
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-        self._narrator.tell(
+        self._printer.report(
             f'The next answers of endpoint {name} are {sentence}.'
         )
         async with aiohttp.ClientSession(timeout=timeout) as session:
             try:
                 await session.post(unit.url + FAULTS_PATH, json=faults)
             except (aiohttp.ClientError, OSError, TimeoutError) as fault:
-                self._narrator.tell(
+                self._printer.report(
                     f'Endpoint {name} took no faults: {fault!r}.'
                 )
 
--- a/packages/testkit/src/baobabwharf_testkit/soak_lane.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_lane.py
@@ -10,13 +10,13 @@
 Action = Callable[[], Awaitable[None]]
 
 
-class Narrator:
+class EventPrinter:
     """Print what happens with the time since the start."""
 
     def __init__(self) -> None:
         self._started_ns = time.monotonic_ns()
 
-    def tell(self, sentence: str) -> None:
+    def report(self, sentence: str) -> None:
         """Print a sentence."""
         passed = (time.monotonic_ns() - self._started_ns) / _NS_PER_S
         print(f'{passed:7.2f} s  {sentence}', flush=True)
--- a/packages/testkit/src/baobabwharf_testkit/soak_operators.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_operators.py
@@ -20,7 +20,7 @@
     digest,
     new_key,
 )
-from baobabwharf_testkit.soak_lane import Action, Narrator
+from baobabwharf_testkit.soak_lane import Action, EventPrinter
 from baobabwharf_testkit.workload import CustomerPlan
 
 _WAIT_MS = 5000
@@ -36,12 +36,12 @@
         self,
         fleet: Fleet,
         plans: tuple[CustomerPlan, ...],
-        narrator: Narrator,
+        printer: EventPrinter,
         seed: str,
     ) -> None:
         self._fleet = fleet
         self._plans = plans
-        self._narrator = narrator
+        self._printer = printer
         self._random = random.Random(seed)
         self._withdrawn: list[str] = []
         self._violations: list[str] = []
@@ -68,7 +68,7 @@
         operator = self._fleet.operator()
         outcome = await operator.change(change, wait_ms=_WAIT_MS)
         await operator.close()
-        self._narrator.tell(f'A cap change was {outcome.code.value}.')
+        self._printer.report(f'A cap change was {outcome.code.value}.')
 
     async def race(self) -> None:
         """Send two changes under one expected revision from two VMs."""
@@ -83,7 +83,7 @@
                 )
             )
             named = [code.value for code in codes]
-            self._narrator.tell(f'Racing operators were told {named}.')
+            self._printer.report(f'Racing operators were told {named}.')
             if codes.count(ChangeCode.ACCEPTED) > 1:
                 self._violations.append('Two racing changes were accepted.')
         for operator in operators:
@@ -100,7 +100,7 @@
         created = await operator.change(CreateKey(record), wait_ms=_WAIT_MS)
         withdrawn = await operator.change(WithdrawKey(key_id), wait_ms=_WAIT_MS)
         await operator.close()
-        self._narrator.tell(
+        self._printer.report(
             f'A key was created ({created.code.value}) and withdrawn '
             f'({withdrawn.code.value}).'
         )
--- a/packages/testkit/src/baobabwharf_testkit/soak_vms.py
+++ b/packages/testkit/src/baobabwharf_testkit/soak_vms.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 from baobabwharf_testkit.fleet import Fleet
-from baobabwharf_testkit.soak_lane import Action, Narrator
+from baobabwharf_testkit.soak_lane import Action, EventPrinter
 
 _RETURN_MS = 30_000
 _REBUILD_TRIES = 60
@@ -22,9 +22,9 @@
     a time, and a data folder is lost only while all other disk VMs vote.
     """
 
-    def __init__(self, fleet: Fleet, narrator: Narrator, seed: str) -> None:
+    def __init__(self, fleet: Fleet, printer: EventPrinter, seed: str) -> None:
         self._fleet = fleet
-        self._narrator = narrator
+        self._printer = printer
         self._random = random.Random(seed)
         self._busy: set[str] = set()
         self._links = asyncio.Lock()
@@ -49,39 +49,39 @@
     async def kill_vm(self) -> None:
         """Kill a VM and start it again."""
         async with self._claimed(list(self._fleet.vms)) as vm_id:
-            self._narrator.tell(f'VM {vm_id} is killed.')
+            self._printer.report(f'VM {vm_id} is killed.')
             self._fleet.vms[vm_id].process.kill()
             await self._pause(1, 4)
             await self._fleet.restart(vm_id, _RETURN_MS)
-            self._narrator.tell(f'VM {vm_id} is back.')
+            self._printer.report(f'VM {vm_id} is back.')
 
     async def stop_vm(self) -> None:
         """Stop a VM gracefully and start it again."""
         async with self._claimed(list(self._fleet.vms)) as vm_id:
-            self._narrator.tell(f'VM {vm_id} is stopped.')
+            self._printer.report(f'VM {vm_id} is stopped.')
             code = await self._fleet.vms[vm_id].process.terminate(_RETURN_MS)
-            self._narrator.tell(f'VM {vm_id} ended with code {code}.')
+            self._printer.report(f'VM {vm_id} ended with code {code}.')
             await self._pause(0, 1)
             await self._fleet.restart(vm_id, _RETURN_MS)
-            self._narrator.tell(f'VM {vm_id} is back.')
+            self._printer.report(f'VM {vm_id} is back.')
 
     async def freeze_vm(self) -> None:
         """Freeze a VM and thaw it."""
         async with self._claimed(list(self._fleet.vms)) as vm_id:
             process = self._fleet.vms[vm_id].process
-            self._narrator.tell(f'VM {vm_id} is frozen.')
+            self._printer.report(f'VM {vm_id} is frozen.')
             process.freeze()
             try:
                 await self._pause(1, 6)
             finally:
                 process.thaw()
-            self._narrator.tell(f'VM {vm_id} is thawed.')
+            self._printer.report(f'VM {vm_id} is thawed.')
 
     async def lose_data(self) -> None:
         """Lose the data folder of a VM and wait until it votes again."""
         async with self._disks:
             if not await self._voting(*self._with_disk()):
-                self._narrator.tell('No data folder is lost: a VM is missing.')
+                self._printer.report('No data folder is lost: a VM is missing.')
                 return
             async with self._claimed(self._with_disk()) as vm_id:
                 await self._lose_data(vm_id)
@@ -90,41 +90,41 @@
         """Partition a region from the others and heal it."""
         async with self._links:
             region, inside, outside = self._draw_region()
-            self._narrator.tell(f'Region {region} is partitioned.')
+            self._printer.report(f'Region {region} is partitioned.')
             self._fleet.links.partition(inside, outside)
             await self._pause(2, 6)
             self._fleet.links.heal()
-            self._narrator.tell(f'Region {region} is connected again.')
+            self._printer.report(f'Region {region} is connected again.')
 
     async def drop_one_way(self) -> None:
         """Drop what one region sends and heal it."""
         async with self._links:
             region, inside, outside = self._draw_region()
-            self._narrator.tell(f'Nothing sent from region {region} arrives.')
+            self._printer.report(f'Nothing sent from region {region} arrives.')
             self._fleet.links.drop_one_way(inside, outside)
             await self._pause(2, 5)
             self._fleet.links.heal()
-            self._narrator.tell(f'Region {region} is heard again.')
+            self._printer.report(f'Region {region} is heard again.')
 
     async def reset_links(self) -> None:
         """Reset the connections of a region."""
         region, inside, outside = self._draw_region()
         self._fleet.links.reset(inside, outside)
-        self._narrator.tell(f'The connections of region {region} were reset.')
+        self._printer.report(f'The connections of region {region} were reset.')
 
     async def _lose_data(self, vm_id: str) -> None:
-        self._narrator.tell(f'VM {vm_id} is killed and loses its data folder.')
+        self._printer.report(f'VM {vm_id} is killed and loses its data folder.')
         self._fleet.vms[vm_id].process.kill()
         self._fleet.lose_data(vm_id)
         await self._pause(0.5, 2)
         await self._fleet.restart(vm_id, _RETURN_MS)
-        self._narrator.tell(f'VM {vm_id} is back.')
+        self._printer.report(f'VM {vm_id} is back.')
         for _ in range(_REBUILD_TRIES):
             if await self._voting(vm_id):
-                self._narrator.tell(f'VM {vm_id} votes again.')
+                self._printer.report(f'VM {vm_id} votes again.')
                 return
             await asyncio.sleep(_REBUILD_PAUSE_S)
-        self._narrator.tell(f'VM {vm_id} does not vote.')
+        self._printer.report(f'VM {vm_id} does not vote.')
 
     async def _voting(self, *vm_ids: str) -> bool:
         """Tell whether each of the VMs says that it votes."""
