Remove a clock that nothing used

Cause: tests of pure code pass the time as an argument, so ManualClock had no caller. Found in a last read of the change.

--- a/packages/core/src/baobabwharf_core/clock.py
+++ b/packages/core/src/baobabwharf_core/clock.py
@@ -30,23 +30,3 @@
     def wall_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
         return time.time_ns() // _NS_PER_MS
-
-
-@final
-class ManualClock(Clock):
-    """Hold time still until it is advanced."""
-
-    def __init__(self, start_ms: int = 0) -> None:
-        self._now_ms = start_ms
-
-    def now_ms(self) -> int:
-        """Return the set time in milliseconds."""
-        return self._now_ms
-
-    def wall_ms(self) -> int:
-        """Return the set time in milliseconds."""
-        return self._now_ms
-
-    def advance(self, step_ms: int) -> None:
-        """Move time forward by a step in milliseconds."""
-        self._now_ms += step_ms
