--- a/packages/core/src/baobabwharf_core/changes.py
+++ b/packages/core/src/baobabwharf_core/changes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from baobabwharf_core.deployment import Deployment
 from baobabwharf_core.ids import (
     CustomerId,
     KeyId,
@@ -11,6 +12,7 @@
     RequestId,
     Revision,
     VmId,
+    ZoneId,
 )
 from baobabwharf_core.model import (
     Customer,
@@ -108,6 +110,19 @@
     config: FleetConfig
 
 
+class InstallDeployment(_Change, frozen=True, tag=True):
+    """Replace the deployment unless one with this version or above is held."""
+
+    deployment: Deployment
+
+
+class SetEvacuation(_Change, frozen=True, tag=True):
+    """Take an availability zone out of use, or back into use."""
+
+    zone: ZoneId
+    active: bool
+
+
 Change = (
     CreateCustomer
     | SetCap
@@ -122,6 +137,8 @@
     | RegisterVm
     | RemoveVm
     | ApplyConfig
+    | InstallDeployment
+    | SetEvacuation
 )
 
 
--- a/packages/core/src/baobabwharf_core/model.py
+++ b/packages/core/src/baobabwharf_core/model.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from baobabwharf_core.deployment import Deployment
 from baobabwharf_core.ids import (
     CustomerId,
     Incarnation,
@@ -84,6 +85,8 @@
     targets: dict[WorkClass, Target] = {}
     routes: dict[str, RouteRule] = {}
     vms: dict[VmId, VmRecord] = {}
+    deployment: Deployment | None = None
+    evacuated: tuple[ZoneId, ...] = ()
 
 
 def route_key(service: ServiceId, path_prefix: str) -> str:
--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -4,8 +4,10 @@
 from collections.abc import Awaitable, Callable
 from typing import final
 
+from baobabwharf_core.changes import InstallDeployment, SetEvacuation
 from baobabwharf_core.clock import Clock
 from baobabwharf_decisions.consensus.messages import CoreStatus
+from baobabwharf_decisions.fleet_state.commands import ApplyChange
 
 from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.formation import Formation
@@ -16,12 +18,15 @@
 from baobabwharf_daemon.replica_links import ReplicaLinks
 from baobabwharf_daemon.replica_messages import (
     DELIVER_PATH,
+    DOCUMENT_PATH,
     JOIN_PATH,
     OUTCOME_PATH,
     PROPOSE_PATH,
     STATUS_PATH,
     Delivered,
     Delivery,
+    DocumentReply,
+    DocumentRequest,
     JoinReply,
     JoinRequest,
     OutcomeReply,
@@ -29,6 +34,7 @@
     ProposeReply,
     ProposeRequest,
     ReplicaStatus,
+    ReplyKind,
     StatusRequest,
 )
 from baobabwharf_daemon.replica_writer import ReplicaWriter
@@ -103,6 +109,9 @@
         server.register_unary(
             OUTCOME_PATH, OutcomeRequest, OutcomeReply, self.outcome
         )
+        server.register_unary(
+            DOCUMENT_PATH, DocumentRequest, DocumentReply, self.document
+        )
 
     async def start(self) -> None:
         """Begin to form or rejoin the group; does not wait for it."""
@@ -136,6 +145,15 @@
 
     async def propose(self, request: ProposeRequest) -> ProposeReply:
         """Commit an operation if this replica leads."""
+        operation = request.operation
+        if isinstance(operation, ApplyChange) and isinstance(
+            operation.request.change, InstallDeployment | SetEvacuation
+        ):
+            # A group that is still too small can't bear the losses that it
+            # is meant to bear.
+            if not self._duties.is_formed():
+                sentence = 'Disk VMs are still joining the group.'
+                return ProposeReply(ReplyKind.REFUSED, sentence=sentence)
         return await self._calls.submit(request.operation, _SUBMIT_TIMEOUT_S)
 
     async def outcome(self, request: OutcomeRequest) -> OutcomeReply:
@@ -144,6 +162,10 @@
             request.request_id, _SUBMIT_TIMEOUT_S
         )
 
+    async def document(self, request: DocumentRequest) -> DocumentReply:
+        """Read the document of the newest deployment."""
+        return await self._calls.read_document(_SUBMIT_TIMEOUT_S)
+
     async def _on_delivery(self, delivery: Delivery) -> Delivered:
         self._engine.receive(delivery.messages)
         return Delivered()
--- a/packages/daemon/src/baobabwharf_daemon/leader_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/leader_client.py
@@ -13,9 +13,12 @@
 from baobabwharf_daemon.address_book import AddressBook
 from baobabwharf_daemon.consensus_task import ConsensusTask
 from baobabwharf_daemon.replica_messages import (
+    DOCUMENT_PATH,
     OUTCOME_PATH,
     PROPOSE_PATH,
     STATUS_PATH,
+    DocumentReply,
+    DocumentRequest,
     OutcomeReply,
     OutcomeRequest,
     ProposeReply,
@@ -97,6 +100,34 @@
             await self._pause()
         return OutcomeReply(ReplyKind.UNKNOWN)
 
+    async def read_document(self, timeout_ms: int) -> DocumentReply:
+        """Return the newest deployment's document, UNKNOWN on timeout."""
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        request = DocumentRequest(self._book.own.vm_id)
+        while self._clock.now_ms() < deadline_ms:
+            leader = await self._find_leader()
+            if leader is not None:
+                reply = await self._document_at(leader, request)
+                if reply.kind is ReplyKind.ANSWERED:
+                    return reply
+            await self._pause()
+        return DocumentReply(ReplyKind.UNKNOWN)
+
+    async def _document_at(
+        self, leader: VmId, request: DocumentRequest
+    ) -> DocumentReply:
+        if leader == self._book.own.vm_id and self._local is not None:
+            return await self._local.document(request)
+        address = self._book.address_of(leader)
+        if address is None:
+            return DocumentReply(ReplyKind.NOT_LEADER)
+        sent = await self._client.call(
+            address, DOCUMENT_PATH, request, DocumentReply, _CALL_TIMEOUT_MS
+        )
+        if sent.is_error() or sent.ok.kind is not ReplyKind.ANSWERED:
+            self._leader = None
+        return sent.default_value(DocumentReply(ReplyKind.UNKNOWN))
+
     async def _submit_once(self, operation: Operation) -> ProposeReply:
         leader = await self._find_leader()
         if leader is None:
--- a/packages/daemon/src/baobabwharf_daemon/leader_duties.py
+++ b/packages/daemon/src/baobabwharf_daemon/leader_duties.py
@@ -20,6 +20,12 @@
 _SUBMIT_TIMEOUT_S = 2.0
 # The leader sends nothing to a replica once its removal has begun.
 _SILENCE_MS = 5000
+# Live disk VMs that are no voters yet hold changes back for so long.
+_FORMING_MS = 6000
+# The group tolerates two lost disks with that many voters.
+_WANTED_VOTERS = 5
+# A voter that was replaced is gone for longer than a restart takes.
+_VOTER_LOST_MS = 5000
 
 
 @final
@@ -39,6 +45,8 @@
         self._clock = clock
         self._nonces: dict[VmId, int] = {}
         self._missing_since_ms: dict[VmId, int] = {}
+        self._voters_missing_ms: dict[VmId, int] = {}
+        self._leads_since_ms: int | None = None
 
     async def join(self, request: JoinRequest) -> JoinReply:
         """Add a VM that holds no log as learner, after removing it."""
@@ -54,6 +62,18 @@
             return JoinReply(False)
         return JoinReply(self._is_settled())
 
+    def is_formed(self) -> bool:
+        """Tell whether all live disk VMs vote, or have had time to join."""
+        status = self._engine.status
+        if status is None or not status.is_leader:
+            return True
+        now_ms = self._clock.now_ms()
+        if self._leads_since_ms is None:
+            self._leads_since_ms = now_ms
+        disks = [vm.vm_id for vm in self._book.other_disk_vms()]
+        joined = set(status.membership.voters).issuperset(disks)
+        return joined or now_ms - self._leads_since_ms > _FORMING_MS
+
     async def work(self) -> None:
         """Do what is due; called about once a second."""
         status = self._engine.status
@@ -61,9 +81,12 @@
         if status is None or not status.is_leader:
             self._missing_since_ms.clear()
             self._nonces.clear()
+            self._voters_missing_ms.clear()
+            self._leads_since_ms = None
             return
         self._remove_withdrawn_vms()
         self._promote_learners()
+        self._remove_replaced_voter()
         await self._lose_dead_owners()
 
     def _leave_when_removed(self) -> None:
@@ -105,6 +128,25 @@
         for learner in status.membership.learners:
             self._calls.change_membership(MembershipStep.PROMOTE, learner)
 
+    def _remove_replaced_voter(self) -> None:
+        """Remove a lost voter once enough others vote in its place."""
+        status = self._engine.status
+        if status is None:
+            return
+        now_ms = self._clock.now_ms()
+        live = self._book.live()
+        voters = status.membership.voters
+        self._voters_missing_ms = {
+            voter: self._voters_missing_ms.get(voter, now_ms)
+            for voter in voters
+            if voter not in live
+        }
+        if len(voters) - len(self._voters_missing_ms) < _WANTED_VOTERS:
+            return
+        for voter, since_ms in self._voters_missing_ms.items():
+            if now_ms - since_ms >= _VOTER_LOST_MS:
+                self._calls.change_membership(MembershipStep.REMOVE, voter)
+
     async def _lose_dead_owners(self) -> None:
         now_ms = self._clock.now_ms()
         owners = self._engine.machine.claims.running_owners()
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Pass requests of a deployment to endpoints byte for byte."""
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -0,0 +1,289 @@
+"""Run a VM that passes requests of a deployment to its endpoints.
+
+An entry VM serves callers and keeps nothing; a disk VM keeps the replicated
+state, hears endpoints and serves operators.  Both run this program.
+"""
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+from typing import final
+
+from baobabwharf_core.clock import SystemClock
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.ids import Incarnation, RegionId, ServiceId, VmId
+from baobabwharf_core.model import FleetConfig, VmRecord
+from baobabwharf_decisions.membership.items import Summary
+from baobabwharf_decisions.proxying.routes import RouteTable
+
+from baobabwharf_daemon.address_book import AddressBook
+from baobabwharf_daemon.consensus_parts import (
+    ConsensusParts,
+    build_consensus_parts,
+)
+from baobabwharf_daemon.decision_log import DecisionLog
+from baobabwharf_daemon.defects import spawn
+from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
+from baobabwharf_daemon.metrics import REVISION
+from baobabwharf_daemon.proxy.caller_connection import CallerListener
+from baobabwharf_daemon.proxy.dialect import Dialect
+from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
+from baobabwharf_daemon.proxy.exchange import Tools
+from baobabwharf_daemon.proxy.ingress import Ingress
+from baobabwharf_daemon.proxy.operator_desk import OperatorDesk
+from baobabwharf_daemon.proxy.placer import Placer
+from baobabwharf_daemon.registration import Registration
+from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.task import Task
+from baobabwharf_daemon.vm_records import own_record
+
+_SLOTS_TOPIC = 'slots'
+_HOUSEKEEPING_S = 0.25
+_SLOTS_PERIOD_MS = 500
+# After a stop request callers still connect with older addresses.
+_LINGER_MS = 3000
+_STOP_POLL_S = 0.05
+# An endpoint taken back into use may be cold that much longer than stated.
+_COLD_MARGIN_MS = 1000
+
+
+@final
+class ProxyDaemon:
+    """Hold the tasks of one VM."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        dialect: Dialect,
+        clock: SystemClock,
+        log: DecisionLog,
+    ) -> None:
+        secret = read_secret(settings.fleet_secret_file)
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._random = random.Random()
+        self._record = own_record(settings, Incarnation(clock.wall_ms()))
+        self._server = RpcServer(secret, settings.tls)
+        self._client = RpcClient(
+            secret, settings.tls, settings.address_overrides
+        )
+        self._consensus = self._build_consensus()
+        self._limits = self._build_limits()
+        book = AddressBook(settings, lambda: self._limits.peers.live_vms())
+        self.endpoints = EndpointSync(book, self._client, clock, log)
+        self.endpoints.register(self._server)
+        self._placer = Placer(
+            self._record,
+            clock,
+            self.endpoints.book,
+            self._limits.peers,
+            self._random,
+        )
+        self._tools = Tools(clock, dialect, self._placer, self.endpoints, log)
+        self._table: RouteTable | None = None
+        self._ingress = Ingress(
+            self._tools, self._limits.lending, lambda: self._table
+        )
+        limits = self._ingress.ingress_limits
+        self._callers = CallerListener(self._ingress.serve_caller, limits)
+        self._forwards = CallerListener(self._ingress.serve_forwarded, limits)
+        self.desk = OperatorDesk(
+            self._record.vm_id,
+            self._consensus.changes,
+            self._consensus.leader,
+            self._random,
+            log,
+        )
+        self._stop_requested = asyncio.Event()
+        self._loops: list[asyncio.Task[None]] = []
+        self._started: list[Task] = []
+        self._published = (0, b'')
+        self._limits.peers.listeners.on_summary(self._on_summary)
+
+    @property
+    def record(self) -> VmRecord:
+        """Return the record of this VM."""
+        return self._record
+
+    @property
+    def is_entry(self) -> bool:
+        """Tell whether this VM serves callers."""
+        return self._settings.data_folder is None
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers should connect to this VM."""
+        return self._table is not None and not self._stop_requested.is_set()
+
+    @property
+    def peers(self) -> LimitsParts:
+        """Return the tasks that know the other VMs."""
+        return self._limits
+
+    async def start(self) -> None:
+        """Start every task; callers are served last."""
+        listen = self._settings.listen
+        await self._server.start(listen.host, listen.peer_port)
+        registration = Registration(
+            self._record,
+            self._consensus.follower,
+            self._consensus.changes,
+            self._random,
+        )
+        order: tuple[Task, ...] = (
+            *self._consensus.tasks,
+            self._limits.peers,
+            self._limits.lending,
+            self.endpoints,
+            registration,
+        )
+        for task in order:
+            await task.start()
+            self._started.append(task)
+        self._loops = [spawn(self._follow()), spawn(self._keep_house())]
+        if self.is_entry:
+            await self._forwards.start(listen.host, listen.forward_port)
+            await self._callers.start(listen.host, listen.caller_port)
+        self._log.record(
+            'vm_started',
+            region=self._record.region,
+            zone=self._record.zone,
+            entry=self.is_entry,
+            incarnation=self._record.incarnation,
+        )
+
+    def request_stop(self) -> None:
+        """Begin a graceful stop; a second request changes nothing."""
+        if self._stop_requested.is_set():
+            return
+        self._log.record('vm_stopping', connections=self._callers.connections)
+        self._stop_requested.set()
+        self._limits.peers.announce_leaving()
+
+    async def run_until_stopped(self) -> None:
+        """Wait for a stop request, finish running requests, release all."""
+        await self._stop_requested.wait()
+        if self.is_entry:
+            await self._drain()
+        for loop in self._loops:
+            loop.cancel()
+        while self._started:
+            await self._started.pop().stop()
+        self._tools.pool.close()
+        self._client.close()
+        await self._server.stop()
+        self._log.record('vm_stopped')
+
+    async def _drain(self) -> None:
+        begun_ms = self._clock.now_ms()
+        deadline_ms = begun_ms + self._settings.drain_deadline_ms
+        while self._clock.now_ms() < deadline_ms:
+            self._callers.stop_idle()
+            lingered = self._clock.now_ms() - begun_ms >= _LINGER_MS
+            if lingered and not self._open_connections():
+                break
+            await asyncio.sleep(_STOP_POLL_S)
+        self._callers.close()
+        self._forwards.close()
+        self._log.record(
+            'drain_ended',
+            took_ms=self._clock.now_ms() - begun_ms,
+            cut=self._open_connections(),
+        )
+
+    def _open_connections(self) -> int:
+        self._forwards.stop_idle()
+        return self._callers.connections + self._forwards.connections
+
+    async def _follow(self) -> None:
+        changes = self._consensus.follower.subscribe()
+        while True:
+            self._take_config(await changes.get())
+
+    def _take_config(self, config: FleetConfig) -> None:
+        deployment = config.deployment
+        if deployment is None:
+            return
+        known = self._table
+        cold_ms = max(
+            (service.cold_ms for service in deployment.services), default=0
+        )
+        self._placer.evacuate(config.evacuated, cold_ms + _COLD_MARGIN_MS)
+        if known is not None and known.deployment == deployment:
+            return
+        self._table = RouteTable(deployment)
+        REVISION.set({}, config.revision)
+        self._log.record(
+            'deployment_in_force',
+            version=deployment.version,
+            revision=config.revision,
+            routes=len(deployment.routes),
+        )
+
+    async def _keep_house(self) -> None:
+        while True:
+            self._tools.pool.sweep()
+            if self.is_entry:
+                self._publish_slots()
+            await asyncio.sleep(_HOUSEKEEPING_S)
+
+    def _publish_slots(self) -> None:
+        payload = encode(self._placer.own_slots())
+        now_ms = self._clock.now_ms()
+        at_ms, published = self._published
+        if payload == published or now_ms - at_ms < _SLOTS_PERIOD_MS:
+            return
+        self._published = (now_ms, payload)
+        self._limits.peers.publish_summary(
+            _SLOTS_TOPIC, self._clock.wall_ms(), payload
+        )
+
+    def _on_summary(self, summary: Summary) -> None:
+        if summary.topic != _SLOTS_TOPIC:
+            return
+        region = self._region_of(summary.origin)
+        if region is None:
+            return
+        slots = decode(summary.payload, dict[ServiceId, int])
+        for key in tuple(self._placer.slots):
+            if key[0] == region:
+                self._placer.slots.pop(key)
+        for service, count in slots.items():
+            self._placer.slots[region, service] = count
+
+    def _region_of(self, vm_id: VmId) -> RegionId | None:
+        for vm in self._limits.peers.live_vms():
+            if vm.vm_id == vm_id:
+                return vm.region
+        return None
+
+    def _build_consensus(self) -> ConsensusParts:
+        return build_consensus_parts(
+            self._settings,
+            self._clock,
+            self._random,
+            self._server,
+            self._client,
+            lambda: self._limits.peers.live_vms(),
+        )
+
+    def _build_limits(self) -> LimitsParts:
+        return build_limits_parts(
+            self._settings,
+            self._clock,
+            self._random,
+            self._server,
+            self._client,
+            self._consensus.follower,
+        )
+
+
+def handle_signals(daemon: ProxyDaemon, reload: Callable[[], None]) -> None:
+    """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
@@ -0,0 +1,300 @@
+"""Serve one request: attempt it until it is answered or refused."""
+
+import asyncio
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.deployment import DeployedService
+from baobabwharf_core.ids import EndpointId, RegionId
+from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
+from baobabwharf_decisions.proxying.repeats import Ended
+from baobabwharf_decisions.proxying.retry_share import RetryShare
+
+from baobabwharf_daemon.decision_log import DecisionLog
+from baobabwharf_daemon.proxy.attempt import (
+    RETRY_HEADER,
+    Attempt,
+    Opened,
+    ReplyKind,
+    read_rest,
+)
+from baobabwharf_daemon.proxy.caller_connection import Call
+from baobabwharf_daemon.proxy.connection_pool import ConnectionPool
+from baobabwharf_daemon.proxy.dialect import Dialect
+from baobabwharf_daemon.proxy.endpoint_connection import Lost
+from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
+from baobabwharf_daemon.proxy.messages import Header, ReplyHead, end_to_end
+from baobabwharf_daemon.proxy.placer import Place, Placer
+from baobabwharf_daemon.proxy.plan import Plan
+
+# Answers up to that size are passed on only once they are whole, so that a
+# cut one can be repeated or refused.
+_WHOLE_BYTES = 262_144
+_SERVER_ERROR = 500
+_INTERNAL_PREFIX = b'baobabwharf-'
+
+_BY_KIND = {
+    ReplyKind.NOT_EXECUTED: Ended.NOT_EXECUTED,
+    ReplyKind.MISDIRECTED: Ended.NOT_EXECUTED,
+    ReplyKind.REGION_REFUSED: Ended.NOT_SENT,
+    ReplyKind.UNUSABLE: Ended.LOST,
+}
+
+
+class Tools:
+    """Hold what all exchanges of a VM share."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        dialect: Dialect,
+        placer: Placer,
+        sync: EndpointSync,
+        log: DecisionLog,
+    ) -> None:
+        self.clock = clock
+        self.dialect = dialect
+        self.placer = placer
+        self.sync = sync
+        self.log = log
+        self.pool = ConnectionPool(clock)
+        self.retries = RetryShare()
+
+
+@final
+class Exchange:
+    """Serve one planned request; the outcome is None once answered."""
+
+    def __init__(
+        self, tools: Tools, call: Call, plan: Plan, service: DeployedService
+    ) -> None:
+        self._tools = tools
+        self._call = call
+        self._plan = plan
+        self._service = service
+        self._excluded: frozenset[EndpointId] = frozenset()
+        self._refused: frozenset[RegionId] = frozenset()
+        self._retry_after_ms: int | None = None
+
+    async def run(self) -> Refusal | None:
+        """Return None when the caller has its answer, else a refusal."""
+        left_ms = self._plan.deadline_ms - self._tools.clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0, left_ms) / 1000):
+                return await self._attempt_all()
+        except TimeoutError:
+            return self._timed_out()
+
+    def _timed_out(self) -> Refusal | None:
+        self._log('deadline_reached', started=self._call.started)
+        if self._call.started:
+            self._call.abort()
+            return None
+        if self._plan.sends.may_have_run:
+            return Refusal(RefusalCode.ENDPOINT_TIMEOUT, Executed.UNKNOWN)
+        return Refusal(RefusalCode.DEADLINE_UNREACHABLE)
+
+    async def _attempt_all(self) -> Refusal | None:
+        while True:
+            placed = self._tools.placer.place(
+                self._plan, self._service, self._excluded, self._refused
+            )
+            if placed.is_error():
+                return self._not_placed(placed.error)
+            ended = await self._attempt(placed.ok)
+            if ended is None:
+                return None
+            self._plan.sends.note(ended)
+            if not self._may_repeat(ended):
+                return self._plan.sends.refusal(ended, self._retry_after_ms)
+
+    def _not_placed(self, refusal: Refusal) -> Refusal:
+        if self._plan.sends.may_have_run:
+            return Refusal(RefusalCode.ENDPOINT_FAILED, Executed.UNKNOWN)
+        return refusal
+
+    def _may_repeat(self, ended: Ended) -> bool:
+        if not self._plan.sends.may_repeat(ended):
+            return False
+        if ended is Ended.NOT_SENT:
+            return True
+        granted = self._tools.retries.take(self._service.name)
+        self._log('repeat', ended=ended.value, granted=granted)
+        return granted
+
+    async def _attempt(self, place: Place) -> Ended | None:
+        load = self._load_of(place)
+        if place.record is not None:
+            self._tools.placer.note_sent(place.record)
+        attempt = Attempt(
+            self._tools.pool,
+            self._tools.dialect,
+            self._tools.clock,
+            place,
+            load,
+        )
+        # An attempt that is cut short by the deadline may have run.
+        before = self._plan.sends.may_have_run
+        self._plan.sends.may_have_run = True
+        try:
+            opened = await attempt.open(self._call.request, self._plan)
+            if isinstance(opened, Opened):
+                ended = await self._take_reply(attempt, opened)
+            else:
+                ended = opened
+        finally:
+            attempt.close()
+        self._plan.sends.may_have_run = before
+        self._learn(place, load, ended, attempt)
+        return ended
+
+    def _load_of(self, place: Place) -> EndpointLoad | None:
+        if place.record is None:
+            return None
+        engine = self._service.engine
+        tokens = engine.cache_tokens if engine else 0
+        return self._tools.placer.load(place.record, tokens)
+
+    def _learn(
+        self,
+        place: Place,
+        load: EndpointLoad | None,
+        ended: Ended | None,
+        attempt: Attempt,
+    ) -> None:
+        now_ms = self._tools.clock.now_ms()
+        failed = ended in {Ended.NOT_SENT, Ended.LOST, Ended.FAILED}
+        if load is not None and ended is not Ended.NOT_EXECUTED:
+            load.note_outcome(failed)
+        if ended is not None:
+            self._exclude(place)
+            self._log(
+                'attempt_ended',
+                ended=ended.value,
+                address=place.address,
+                region=place.region,
+                reused=attempt.reused,
+                took_ms=now_ms - (attempt.sent_ms or now_ms),
+            )
+        if ended is Ended.NOT_SENT and load is not None:
+            load.rest(now_ms)
+            self._tools.pool.drop(place.address)
+
+    def _exclude(self, place: Place) -> None:
+        if place.record is not None:
+            self._excluded |= {place.record.endpoint_id}
+        else:
+            self._refused |= {place.region}
+            self._tools.placer.note_region_refusal(self._plan, place.region)
+
+    async def _take_reply(
+        self, attempt: Attempt, opened: Opened
+    ) -> Ended | None:
+        self._note_load(attempt, opened)
+        if opened.kind is ReplyKind.RESULT:
+            return await self._take_result(attempt, opened)
+        if opened.kind is ReplyKind.FAILURE:
+            return await self._take_failure(attempt, opened)
+        if opened.kind is ReplyKind.MISDIRECTED and attempt.place.record:
+            self._tools.sync.forget(
+                attempt.place.record.endpoint_id, 'misdirected'
+            )
+        if opened.kind is ReplyKind.REGION_REFUSED:
+            stated = opened.head.header(RETRY_HEADER.lower())
+            self._retry_after_ms = int(stated) if stated else None
+        rest = await read_rest(opened, _WHOLE_BYTES)
+        if isinstance(rest, bytes):
+            attempt.whole()
+        return _BY_KIND[opened.kind]
+
+    def _note_load(self, attempt: Attempt, opened: Opened) -> None:
+        load = self._load_of(attempt.place)
+        if load is not None and opened.facts.load is not None:
+            load.note_sample(opened.facts.load, self._tools.clock.now_ms())
+
+    async def _take_result(
+        self, attempt: Attempt, opened: Opened
+    ) -> Ended | None:
+        if self._plan.facts.streaming:
+            await self._relay(attempt, opened, b'')
+            return None
+        body = await read_rest(opened, _WHOLE_BYTES)
+        attempt.prompt_read()
+        if isinstance(body, Lost):
+            return Ended.LOST
+        if body is None:
+            return Ended.LOST
+        attempt.whole()
+        self._answer(opened.head, body)
+        return None
+
+    async def _take_failure(
+        self, attempt: Attempt, opened: Opened
+    ) -> Ended | None:
+        body = await read_rest(opened, _WHOLE_BYTES)
+        if not isinstance(body, bytes):
+            return Ended.LOST
+        attempt.whole()
+        again = (
+            opened.head.status >= _SERVER_ERROR
+            and self._plan.sends.repeatable
+            and self._plan.sends.sent + 1 < self._plan.sends.max_attempts
+            and not self._plan.forwarded
+            and self._tools.retries.take(self._service.name)
+        )
+        if again:
+            self._plan.sends.sent += 1
+            self._log('repeat_failure', status=opened.head.status)
+            second = await self._attempt_second()
+            if second is None:
+                return None
+        self._answer(opened.head, body)
+        return None
+
+    async def _attempt_second(self) -> Ended | None:
+        placed = self._tools.placer.place(
+            self._plan, self._service, self._excluded, self._refused
+        )
+        if placed.is_error():
+            return Ended.FAILED
+        return await self._attempt(placed.ok)
+
+    async def _relay(
+        self, attempt: Attempt, opened: Opened, first: bytes
+    ) -> None:
+        """Pass blocks on as they arrive; a cut reply is cut for the caller."""
+        head = opened.head
+        self._call.start(
+            head.status, head.reason, _passed_on(head), head.length
+        )
+        self._call.write(first)
+        while True:
+            block = await opened.connection.block()
+            attempt.prompt_read()
+            if isinstance(block, Lost):
+                self._log('stream_broken', reason=block.value)
+                self._call.abort()
+                return
+            if not block:
+                break
+            self._call.write(block)
+            await self._call.drain()
+        attempt.whole()
+        self._call.finish()
+
+    def _answer(self, head: ReplyHead, body: bytes) -> None:
+        self._call.answer(head.status, head.reason, _passed_on(head), body)
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._tools.log.record(
+            event, request=self._plan.facts.request_id, **fields
+        )
+
+
+def _passed_on(head: ReplyHead) -> list[Header]:
+    return [
+        pair
+        for pair in end_to_end(head.headers)
+        if not pair[0].lower().startswith(_INTERNAL_PREFIX)
+    ]
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/operator_desk.py
@@ -0,0 +1,116 @@
+"""Take whole deployments and evacuations from operators."""
+
+import enum
+import random
+from typing import final
+
+import msgspec
+from baobabwharf_core.changes import (
+    Change,
+    ChangeCode,
+    ChangeRequest,
+    InstallDeployment,
+    SetEvacuation,
+)
+from baobabwharf_core.deployment import Deployment
+from baobabwharf_core.ids import RequestId, VmId, ZoneId
+from baobabwharf_decisions.fleet_state.deployments import find_faults
+
+from baobabwharf_daemon.decision_log import DecisionLog
+from baobabwharf_daemon.interfaces import ChangeClient
+from baobabwharf_daemon.leader_client import LeaderClient
+from baobabwharf_daemon.replica_messages import ReplyKind
+
+# An operator gives a call up after a second and asks another VM.
+_READ_TIMEOUT_MS = 900
+_ID_BITS = 64
+
+
+class Acceptance(enum.Enum):
+    """Tell what became of an operator's order."""
+
+    ACCEPTED = 'accepted'
+    INVALID = 'invalid'
+    UNAVAILABLE = 'unavailable'
+
+
+class OrderAnswer(msgspec.Struct, frozen=True):
+    """Answer an order with the reason for it."""
+
+    acceptance: Acceptance
+    sentence: str = ''
+
+
+class ReadAnswer(msgspec.Struct, frozen=True):
+    """Hold the document in force; sure is False if it may be outdated."""
+
+    sure: bool
+    document: bytes | None = None
+
+
+# An order that changes nothing has been accepted before.
+_ACCEPTED = frozenset((ChangeCode.ACCEPTED, ChangeCode.ALREADY_EXISTS))
+
+
+@final
+class OperatorDesk:
+    """Serve operators at any disk VM."""
+
+    def __init__(
+        self,
+        own: VmId,
+        changes: ChangeClient,
+        leader: LeaderClient,
+        generator: random.Random,
+        log: DecisionLog,
+    ) -> None:
+        self._own = own
+        self._changes = changes
+        self._leader = leader
+        self._random = generator
+        self._log = log
+
+    async def install(self, deployment: Deployment) -> OrderAnswer:
+        """Put a deployment into force unless a higher version is."""
+        faults = find_faults(deployment)
+        if faults:
+            answer = OrderAnswer(Acceptance.INVALID, ' '.join(faults))
+        else:
+            answer = await self._order(InstallDeployment(deployment))
+        self._log.record(
+            'deployment_order',
+            version=deployment.version,
+            outcome=answer.acceptance.value,
+            reason=answer.sentence,
+        )
+        return answer
+
+    async def evacuate(self, zone: ZoneId, *, active: bool) -> OrderAnswer:
+        """Take an availability zone out of use, or back into use."""
+        answer = await self._order(SetEvacuation(zone, active))
+        self._log.record(
+            'evacuation_order',
+            zone=zone,
+            active=active,
+            outcome=answer.acceptance.value,
+            reason=answer.sentence,
+        )
+        return answer
+
+    async def read(self) -> ReadAnswer:
+        """Return the newest deployment's document."""
+        reply = await self._leader.read_document(_READ_TIMEOUT_MS)
+        if reply.kind is not ReplyKind.ANSWERED:
+            return ReadAnswer(sure=False)
+        return ReadAnswer(sure=True, document=reply.document)
+
+    async def _order(self, change: Change) -> OrderAnswer:
+        # Versions make orders idempotent, so each try has an id of its own.
+        number = self._random.getrandbits(_ID_BITS)
+        request_id = RequestId(f'order-{self._own}-{number:x}')
+        outcome = await self._changes.propose(ChangeRequest(request_id, change))
+        if outcome.code in _ACCEPTED:
+            return OrderAnswer(Acceptance.ACCEPTED, outcome.sentence)
+        if outcome.code is ChangeCode.INVALID:
+            return OrderAnswer(Acceptance.INVALID, outcome.sentence)
+        return OrderAnswer(Acceptance.UNAVAILABLE, outcome.sentence)
--- a/packages/daemon/src/baobabwharf_daemon/replica_calls.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_calls.py
@@ -13,6 +13,7 @@
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.replica_engine import ReplicaEngine
 from baobabwharf_daemon.replica_messages import (
+    DocumentReply,
     OutcomeReply,
     ProposeReply,
     ReplyKind,
@@ -59,18 +60,21 @@
         self, request_id: RequestId, timeout_s: float
     ) -> OutcomeReply:
         """Read the first answer to a request id, linearisably."""
-        core = self._engine.core
-        waiters = self._engine.waiters
-        read_id, waiter = waiters.expect_read()
-        if core is None or not core.read(read_id):
-            waiters.resolve_read(read_id, False)
-            return OutcomeReply(ReplyKind.NOT_LEADER, leader_id=self._leader())
-        self._engine.pump()
-        if not await waiters.wait_read(waiter, timeout_s):
-            return OutcomeReply(ReplyKind.UNKNOWN)
+        kind = await self._confirm_read(timeout_s)
+        if kind is not ReplyKind.ANSWERED:
+            return OutcomeReply(kind, leader_id=self._leader())
         outcome = self._engine.machine.first_answer(request_id)
         return OutcomeReply(ReplyKind.ANSWERED, outcome)
 
+    async def read_document(self, timeout_s: float) -> DocumentReply:
+        """Read the document of the deployment, linearisably."""
+        kind = await self._confirm_read(timeout_s)
+        if kind is not ReplyKind.ANSWERED:
+            return DocumentReply(kind, leader_id=self._leader())
+        held = self._engine.machine.config.deployment
+        document = None if held is None else held.document
+        return DocumentReply(ReplyKind.ANSWERED, document)
+
     def change_membership(
         self, step: MembershipStep, vm_id: VmId
     ) -> LogIndex | None:
@@ -91,6 +95,17 @@
         self._engine.pump()
         return started
 
+    async def _confirm_read(self, timeout_s: float) -> ReplyKind:
+        core = self._engine.core
+        waiters = self._engine.waiters
+        read_id, waiter = waiters.expect_read()
+        if core is None or not core.read(read_id):
+            waiters.resolve_read(read_id, False)
+            return ReplyKind.NOT_LEADER
+        self._engine.pump()
+        confirmed = await waiters.wait_read(waiter, timeout_s)
+        return ReplyKind.ANSWERED if confirmed else ReplyKind.UNKNOWN
+
     def _leader(self) -> VmId | None:
         status = self._engine.status
         return None if status is None else status.leader_id
--- a/packages/daemon/src/baobabwharf_daemon/rpc.py
+++ b/packages/daemon/src/baobabwharf_daemon/rpc.py
@@ -170,7 +170,7 @@
 
     async def _receive(self, stream: Stream[Any, Any]) -> Any:
         metadata: Mapping[str, Any] = stream.metadata or {}
-        if metadata.get(_SECRET_HEADER) != self._secret:
+        if metadata.get(_SECRET_HEADER, '') != self._secret:
             raise GRPCError(Status.UNAUTHENTICATED)
         request = await stream.recv_message()
         if request is None:
@@ -188,7 +188,8 @@
         tls: Tls | None,
         overrides: Mapping[str, str] | None = None,
     ) -> None:
-        self._metadata = {_SECRET_HEADER: secret}
+        # gRPC allows no empty values.
+        self._metadata = {_SECRET_HEADER: secret} if secret else {}
         self._tls = tls
         self._overrides = overrides or {}
         self._channels: dict[str, Channel] = {}
@@ -267,8 +268,10 @@
         yield reply
 
 
-def read_secret(path: Path) -> str:
-    """Return the secret that VMs of one fleet share."""
+def read_secret(path: Path | None) -> str:
+    """Return the secret that VMs of one fleet share, empty without one."""
+    if path is None:
+        return ''
     return path.read_text().strip()
 
 
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -108,9 +108,11 @@
     listen: Listen
     data_folder: Path | None = None
     # Disk VMs that form the first Raft group; the same list on every VM.
-    initial_voters: tuple[str, ...] = pydantic.Field(min_length=1)
+    # Empty on a VM that joins a fleet that exists.
+    initial_voters: tuple[str, ...] = ()
     peers: tuple[Peer, ...] = ()
-    fleet_secret_file: Path
+    # Without a secret the network must keep strangers from the VM's ports.
+    fleet_secret_file: Path | None = None
     operator_token_digests: tuple[str, ...] = ()
     tls: Tls | None = None
     # Without TLS only loopback is listened on unless this is true.
@@ -124,8 +126,8 @@
 
     @pydantic.field_validator('fleet_secret_file')
     @classmethod
-    def _check_secret(cls, path: Path) -> Path:
-        if not os.access(path, os.R_OK):
+    def _check_secret(cls, path: Path | None) -> Path | None:
+        if path is not None and not os.access(path, os.R_OK):
             raise ValueError('the file cannot be read')
         return path
 
@@ -139,6 +141,12 @@
             'allow_plaintext_beyond_loopback must be true'
         )
 
+    @pydantic.model_validator(mode='after')
+    def _check_protection(self) -> Self:
+        if self.fleet_secret_file or self.allow_plaintext_beyond_loopback:
+            return self
+        raise ValueError('fleet_secret_file is missing')
+
     @pydantic.model_validator(mode='after')
     def _check_voter(self) -> Self:
         if self.vm_id in self.initial_voters and self.data_folder is None:
--- a/packages/decisions/src/baobabwharf_decisions/fleet_state/configuration.py
+++ b/packages/decisions/src/baobabwharf_decisions/fleet_state/configuration.py
@@ -13,7 +13,7 @@
 from baobabwharf_core.model import FleetConfig, route_key
 from expression import Ok
 
-from baobabwharf_decisions.fleet_state import customers, keys
+from baobabwharf_decisions.fleet_state import customers, deployments, keys
 from baobabwharf_decisions.fleet_state.applied import (
     Applied,
     invalid,
@@ -99,4 +99,6 @@
     changes.RegisterVm: _register_vm,
     changes.RemoveVm: _remove_vm,
     changes.ApplyConfig: _apply_config,
+    changes.InstallDeployment: deployments.install,
+    changes.SetEvacuation: deployments.set_evacuation,
 }
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how requests of a deployment are routed, paced and repeated."""
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/cold_pace.py
@@ -0,0 +1,61 @@
+"""Pace requests to cold endpoints over all VMs of a region.
+
+Load pattern: a zone returns with cold endpoints while the region is full, and
+every VM sends to them at once.  A few owners, chosen by rendezvous hashing,
+share the rate of each cold endpoint; the other VMs send it nothing.
+"""
+
+import hashlib
+from collections import deque
+from collections.abc import Iterable
+from typing import final
+
+from baobabwharf_core.ids import EndpointId, VmId
+
+_WINDOW_MS = 1000
+_MAX_OWNERS = 3
+_DIGEST_BYTES = 8
+
+
+def owners(endpoint_id: EndpointId, vms: Iterable[VmId]) -> tuple[VmId, ...]:
+    """Return the VMs that may send to a cold endpoint."""
+    ranked = sorted(vms, key=lambda vm_id: _score(endpoint_id, vm_id))
+    return tuple(ranked[:_MAX_OWNERS])
+
+
+def _score(endpoint_id: EndpointId, vm_id: VmId) -> bytes:
+    name = f'{endpoint_id} {vm_id}'.encode()
+    return hashlib.blake2b(name, digest_size=_DIGEST_BYTES).digest()
+
+
+@final
+class ColdPace:
+    """Count what this VM sent to each cold endpoint in the last second."""
+
+    def __init__(self, own: VmId) -> None:
+        self._own = own
+        self._sent: dict[EndpointId, deque[int]] = {}
+
+    def may_send(
+        self,
+        endpoint_id: EndpointId,
+        rate_per_s: float,
+        region_vms: Iterable[VmId],
+        now_ms: int,
+    ) -> bool:
+        """Tell whether one more request keeps the rate of the region."""
+        chosen = owners(endpoint_id, region_vms)
+        if self._own not in chosen:
+            return False
+        share = int(max(1, rate_per_s // len(chosen)))
+        return len(self._recent(endpoint_id, now_ms)) < share
+
+    def note_sent(self, endpoint_id: EndpointId, now_ms: int) -> None:
+        """Count a request that is sent now."""
+        self._recent(endpoint_id, now_ms).append(now_ms)
+
+    def _recent(self, endpoint_id: EndpointId, now_ms: int) -> deque[int]:
+        sent = self._sent.setdefault(endpoint_id, deque())
+        while sent and sent[0] <= now_ms - _WINDOW_MS:
+            sent.popleft()
+        return sent
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
@@ -0,0 +1,155 @@
+"""Keep the endpoints that register themselves.
+
+A record replaces an older one of the same endpoint by incarnation, then by
+sequence.  A newer incarnation at an address ends all older ones there, since
+addresses are used again.
+"""
+
+from collections.abc import Iterable
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import (
+    EndpointId,
+    Incarnation,
+    RegionId,
+    ServiceId,
+    ZoneId,
+)
+
+# A record that left is remembered, so that its late heartbeats stay without
+# effect; heartbeats arrive seconds late at most.
+_LEFT_KEPT_MS = 60_000
+
+
+class EndpointRecord(msgspec.Struct, frozen=True):
+    """Describe an endpoint as it registered; times are ms left."""
+
+    endpoint_id: EndpointId
+    service: ServiceId
+    address: str
+    zone: ZoneId
+    region: RegionId
+    slots: int
+    incarnation: Incarnation
+    sequence: int
+    draining: bool = False
+    cold_left_ms: int = 0
+    leaves_in_ms: int | None = None
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what decides which of two records is newer."""
+        return (self.incarnation, self.sequence)
+
+    def same_state(self, other: 'EndpointRecord') -> bool:
+        """Tell whether only the sequence and the times have moved on."""
+        return _constant(self) == _constant(other)
+
+
+class BookEntry(msgspec.Struct):
+    """Pair a record with local times in ms."""
+
+    record: EndpointRecord
+    heard_ms: int
+    cold_until_ms: int
+
+
+@final
+class EndpointBook:
+    """Hold the newest record of each endpoint."""
+
+    def __init__(self) -> None:
+        self._entries: dict[EndpointId, BookEntry] = {}
+        self._left: dict[EndpointId, tuple[int, int]] = {}
+
+    @property
+    def entries(self) -> dict[EndpointId, BookEntry]:
+        """Return the entries by endpoint, for reading."""
+        return self._entries
+
+    def take(self, record: EndpointRecord, now_ms: int) -> bool:
+        """Take a record unless it is older; tell whether the state changed."""
+        if self._has_left(record) or self._superseded(record):
+            return False
+        known = self._entries.get(record.endpoint_id)
+        if known is not None and known.record.order >= record.order:
+            return False
+        self._drop_address(record)
+        cold_until_ms = now_ms + record.cold_left_ms
+        if known is not None and record.cold_left_ms == 0:
+            cold_until_ms = min(known.cold_until_ms, now_ms)
+        self._entries[record.endpoint_id] = BookEntry(
+            record, now_ms, cold_until_ms
+        )
+        return known is None or not known.record.same_state(record)
+
+    def leave(self, endpoint_id: EndpointId, now_ms: int) -> bool:
+        """Drop an endpoint that says it leaves."""
+        entry = self._entries.pop(endpoint_id, None)
+        if entry is not None:
+            self._left[endpoint_id] = (entry.record.incarnation, now_ms)
+        return entry is not None
+
+    def drop(self, endpoint_id: EndpointId) -> bool:
+        """Drop an endpoint until it is heard again."""
+        return self._entries.pop(endpoint_id, None) is not None
+
+    def expire(self, silent_ms: int, now_ms: int) -> list[EndpointId]:
+        """Drop the endpoints that were silent for too long."""
+        silent = [
+            endpoint_id
+            for endpoint_id, entry in self._entries.items()
+            if now_ms - entry.heard_ms > silent_ms
+        ]
+        for endpoint_id in silent:
+            self._entries.pop(endpoint_id)
+        self._left = {
+            endpoint_id: (incarnation, at_ms)
+            for endpoint_id, (incarnation, at_ms) in self._left.items()
+            if now_ms - at_ms <= _LEFT_KEPT_MS
+        }
+        return silent
+
+    def chill(self, zones: Iterable[ZoneId], until_ms: int) -> None:
+        """Treat the endpoints of availability zones as cold for a while."""
+        chosen = frozenset(zones)
+        for entry in self._entries.values():
+            if entry.record.zone in chosen:
+                entry.cold_until_ms = max(entry.cold_until_ms, until_ms)
+
+    def of_service(self, service: ServiceId) -> list[BookEntry]:
+        """Return the entries of a service."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.record.service == service
+        ]
+
+    def _has_left(self, record: EndpointRecord) -> bool:
+        left = self._left.get(record.endpoint_id)
+        return left is not None and record.incarnation <= left[0]
+
+    def _superseded(self, record: EndpointRecord) -> bool:
+        return any(
+            entry.record.address == record.address
+            and entry.record.endpoint_id != record.endpoint_id
+            and entry.record.incarnation > record.incarnation
+            for entry in self._entries.values()
+        )
+
+    def _drop_address(self, record: EndpointRecord) -> None:
+        stale = [
+            endpoint_id
+            for endpoint_id, entry in self._entries.items()
+            if entry.record.address == record.address
+            and endpoint_id != record.endpoint_id
+        ]
+        for endpoint_id in stale:
+            self._entries.pop(endpoint_id)
+
+
+def _constant(record: EndpointRecord) -> EndpointRecord:
+    return msgspec.structs.replace(
+        record, sequence=0, cold_left_ms=min(record.cold_left_ms, 1)
+    )
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -0,0 +1,99 @@
+"""Place prompts on engines by the unread prompt tokens ahead of them.
+
+Load pattern: a region's peak asks for several times what its engines can
+read.  An engine reads prompts one after another, so the time to the first
+token is the unread tokens ahead over the reading speed.  A session stays with
+its engine, which has read its shared parts, unless another one is ahead by
+more than a whole reading; a request that would get its first token after its
+target is refused at once.
+"""
+
+import hashlib
+from collections.abc import Sequence
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import EndpointId
+
+from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
+from baobabwharf_decisions.proxying.prompt_cache import Prompt
+
+# Reading speed while other requests generate: a chunk of 4096 tokens takes
+# about 41 ms at 101 tokens per ms, and the step of a batch 4 to 5 ms more.
+READ_TOKENS_PER_MS = 85
+# Time to the first token that no placement can save: one batch step, the
+# first event's tokens and the network.
+FIRST_EVENT_MS = 60
+# A session moves when its engine is behind by more than that.
+MOVE_TOKENS = 2000
+_DIGEST_BYTES = 8
+
+
+class Candidate(msgspec.Struct):
+    """Pair an endpoint with its load."""
+
+    endpoint_id: EndpointId
+    load: EndpointLoad
+    slots: int
+
+
+class PromptNeed(msgspec.Struct, frozen=True):
+    """State the prompt of a request and the time left to its target.
+
+    share is the part of that time that a request of this urgency may fill
+    with the unread prompts of others.
+    """
+
+    prompt: Prompt
+    target_left_ms: int
+    share: float
+
+
+@final
+class Backlog:
+    """Choose among the engines of one region."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], need: PromptNeed
+    ) -> Candidate | None:
+        """Return the engine for a request, None if all are too far behind."""
+        open_now = [one for one in candidates if _has_slot(one)]
+        if not open_now:
+            return None
+        best = min(open_now, key=lambda one: _ahead(one, need.prompt))
+        home = home_of(open_now, need.prompt)
+        margin = _ahead(home, need.prompt) - _ahead(best, need.prompt)
+        chosen = home if margin <= MOVE_TOKENS else best
+        return chosen if _in_time(chosen, need) else None
+
+
+def home_of(candidates: Sequence[Candidate], prompt: Prompt) -> Candidate:
+    """Return the engine at which all VMs look for a session first."""
+    # The last part belongs to the request, the one before to its session.
+    session = prompt[-2].part_id if len(prompt) > 1 else ''
+    return max(candidates, key=lambda one: _score(one.endpoint_id, session))
+
+
+def _score(endpoint_id: EndpointId, session: str) -> bytes:
+    name = f'{endpoint_id} {session}'.encode()
+    return hashlib.blake2b(name, digest_size=_DIGEST_BYTES).digest()
+
+
+def _has_slot(candidate: Candidate) -> bool:
+    return candidate.load.total_running < candidate.slots
+
+
+def _ahead(candidate: Candidate, prompt: Prompt) -> int:
+    load = candidate.load
+    return load.total_unread + load.cache.unread_tokens(prompt)
+
+
+def _in_time(candidate: Candidate, need: PromptNeed) -> bool:
+    own = candidate.load.cache.unread_tokens(need.prompt)
+    budget_ms = need.target_left_ms - FIRST_EVENT_MS
+    bound = budget_ms * READ_TOKENS_PER_MS
+    ahead = candidate.load.total_unread
+    if ahead <= 0:
+        # An idle engine serves what is late even at best.
+        return True
+    return ahead + own <= bound and ahead <= bound * need.share
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
@@ -0,0 +1,77 @@
+"""Choose another region when the own one can't serve a request.
+
+Load pattern: peaks of regions are offset, so a full region has neighbours
+with room.  A region that refused rests for a moment, so that a peak does not
+turn into a storm of forwarded requests that are refused there.
+"""
+
+import random
+from collections.abc import Iterable, Mapping
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import RegionId, ServiceId, VmId
+
+# About four round trips between regions: room there changes no faster.
+REST_MS = 200
+
+
+class RegionOffer(msgspec.Struct, frozen=True):
+    """Name a VM that could pass a request to endpoints of its region."""
+
+    region: RegionId
+    vm_id: VmId
+    slots: int
+
+
+@final
+class RegionRests:
+    """Remember which regions refused a service just now."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
+        self._until_ms: dict[tuple[RegionId, ServiceId, int], int] = {}
+
+    def note_refusal(
+        self, region: RegionId, service: ServiceId, urgency: int, now_ms: int
+    ) -> None:
+        """Let a region rest for requests of this urgency."""
+        self._until_ms[region, service, urgency] = now_ms + REST_MS
+
+    def choose(
+        self,
+        offers: Iterable[RegionOffer],
+        service: ServiceId,
+        urgency: int,
+        now_ms: int,
+    ) -> RegionOffer | None:
+        """Return a VM of a region that does not rest, by its slots."""
+        awake = [
+            offer
+            for offer in offers
+            if self._until_ms.get((offer.region, service, urgency), 0) <= now_ms
+        ]
+        weights = [offer.slots for offer in awake]
+        if not awake or sum(weights) <= 0:
+            return None
+        return self._random.choices(awake, weights)[0]
+
+
+def offers_of(
+    slots: Mapping[tuple[RegionId, ServiceId], int],
+    vms: Mapping[RegionId, list[VmId]],
+    service: ServiceId,
+    allowed: frozenset[RegionId] | None,
+    own: RegionId,
+    excluded: frozenset[RegionId] = frozenset(),
+) -> list[RegionOffer]:
+    """Return one offer for each VM of the regions that may serve."""
+    return [
+        RegionOffer(region, vm_id, count)
+        for (region, name), count in slots.items()
+        if name == service
+        and region != own
+        and region not in excluded
+        and (allowed is None or region in allowed)
+        for vm_id in vms.get(region, ())
+    ]
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/repeats.py
@@ -0,0 +1,66 @@
+"""Decide whether a request may be sent once more after an attempt ended."""
+
+import enum
+
+import msgspec
+from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+
+
+class Ended(enum.Enum):
+    """Tell how an attempt ended without an answer for the caller."""
+
+    NOT_SENT = 'not_sent'
+    NOT_EXECUTED = 'not_executed'
+    FAILED = 'failed'
+    LOST = 'lost'
+    TIMED_OUT = 'timed_out'
+
+
+# What surely did not run may be sent again whatever its kind.
+_SURE = frozenset((Ended.NOT_SENT, Ended.NOT_EXECUTED))
+# Connections that can not be opened cost no send; more tries only add delay.
+_MAX_UNSENT = 3
+
+_CODES = {
+    Ended.NOT_SENT: RefusalCode.NO_ENDPOINT,
+    Ended.NOT_EXECUTED: RefusalCode.QUEUE_FULL,
+    Ended.FAILED: RefusalCode.ENDPOINT_FAILED,
+    Ended.LOST: RefusalCode.ENDPOINT_FAILED,
+    Ended.TIMED_OUT: RefusalCode.ENDPOINT_TIMEOUT,
+}
+
+
+class Sends(msgspec.Struct):
+    """Count what became of one request so far."""
+
+    max_attempts: int
+    repeatable: bool
+    sent: int = 0
+    unsent: int = 0
+    may_have_run: bool = False
+
+    def note(self, ended: Ended) -> None:
+        """Count an attempt that ended."""
+        if ended is Ended.NOT_SENT:
+            self.unsent += 1
+        else:
+            self.sent += 1
+        if ended not in _SURE:
+            self.may_have_run = True
+
+    def may_repeat(self, ended: Ended) -> bool:
+        """Tell whether another endpoint may be tried, budget aside."""
+        if self.sent >= self.max_attempts or self.unsent >= _MAX_UNSENT:
+            return False
+        if ended is Ended.TIMED_OUT:
+            return False
+        return ended in _SURE or self.repeatable
+
+    def refusal(self, ended: Ended, retry_after_ms: int | None) -> Refusal:
+        """Return the answer for the caller when nothing more is tried."""
+        if self.may_have_run:
+            code = _CODES[ended]
+            if ended in _SURE:
+                code = RefusalCode.ENDPOINT_FAILED
+            return Refusal(code, Executed.UNKNOWN)
+        return Refusal(_CODES[ended], retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
@@ -0,0 +1,96 @@
+"""Find the route and the customer of a request."""
+
+import hashlib
+from typing import final
+
+from baobabwharf_core.deployment import (
+    DeployedCustomer,
+    DeployedRoute,
+    DeployedService,
+    Deployment,
+)
+from baobabwharf_core.ids import RegionId, ServiceId
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from expression import Error, Ok, Result
+
+_KEY_DIGEST_BYTES = 16
+_SPLIT_DIGEST_BYTES = 8
+_SPLIT_RANGE = 1 << (8 * _SPLIT_DIGEST_BYTES)
+
+
+def key_digest(key: bytes) -> bytes:
+    """Return the digest under which a key is stored."""
+    return hashlib.blake2b(key, digest_size=_KEY_DIGEST_BYTES).digest()
+
+
+@final
+class RouteTable:
+    """Index one deployment for look-ups on the request path."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self._hosts: dict[str, list[DeployedRoute]] = {}
+        for route in deployment.routes:
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        self._customers = {
+            digest: customer
+            for customer in deployment.customers
+            for digest in customer.key_digests
+        }
+        self._services = {
+            service.name: service for service in deployment.services
+        }
+
+    def find(self, host: str, path: str) -> Result[DeployedRoute, Refusal]:
+        """Return the route with the longest prefix of the path."""
+        for route in self._hosts.get(host.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return Ok(route)
+        return Error(Refusal(RefusalCode.SERVICE_UNKNOWN))
+
+    def authenticate(
+        self, route: DeployedRoute, key: bytes | None
+    ) -> Result[DeployedCustomer | None, Refusal]:
+        """Return the customer of a key; None where no key is asked for."""
+        if route.open_to_all or not self.deployment.customers:
+            return Ok(None)
+        if key is None:
+            return Error(Refusal(RefusalCode.KEY_MISSING))
+        customer = self._customers.get(key_digest(key))
+        if customer is None:
+            return Error(Refusal(RefusalCode.KEY_UNKNOWN))
+        return Ok(customer)
+
+    def service(self, name: ServiceId) -> DeployedService:
+        """Return a service that a route names."""
+        return self._services[name]
+
+    def find_service(self, name: ServiceId) -> DeployedService | None:
+        """Return a service, None if the deployment has none of that name."""
+        return self._services.get(name)
+
+
+def split_service(route: DeployedRoute, request_id: str) -> ServiceId:
+    """Choose the service of a request by the weights of its route."""
+    total = sum(share.weight for share in route.shares)
+    digest = hashlib.blake2b(
+        request_id.encode(), digest_size=_SPLIT_DIGEST_BYTES
+    ).digest()
+    point = int.from_bytes(digest, 'big') / _SPLIT_RANGE * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return max(route.shares, key=lambda share: share.weight).service
+
+
+def allowed_regions(
+    route: DeployedRoute, customer: DeployedCustomer | None
+) -> frozenset[RegionId] | None:
+    """Return the regions that may serve a request, None for all regions."""
+    homes = [frozenset(route.home_regions)] if route.home_regions else []
+    if customer is not None and customer.home_regions:
+        homes.append(frozenset(customer.home_regions))
+    return frozenset.intersection(*homes) if homes else None
