Share loads in a region; bound the reading share of engines

After the kill of all VMs 429 was answered for 3.5 s, since restarted holders lend nothing. Ruled out: lost bytes (the runs were cut at the deadline, not before).

--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -31,6 +31,7 @@
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
 from baobabwharf_daemon.proxy.exchange import Tools
 from baobabwharf_daemon.proxy.ingress import Ingress
+from baobabwharf_daemon.proxy.load_exchange import LoadExchange
 from baobabwharf_daemon.proxy.operator_desk import OperatorDesk
 from baobabwharf_daemon.proxy.placer import Placer
 from baobabwharf_daemon.registration import Registration
@@ -85,7 +86,10 @@
         self._tools = Tools(clock, dialect, self._placer, self.endpoints, log)
         self._table: RouteTable | None = None
         self._ingress = Ingress(
-            self._tools, self._limits.lending, lambda: self._table
+            self._tools,
+            self._limits.lending,
+            lambda: self._table,
+            lambda: self._consensus.follower.config,
         )
         limits = self._ingress.ingress_limits
         self._callers = CallerListener(self._ingress.serve_caller, limits)
@@ -143,6 +147,16 @@
         for task in order:
             await task.start()
             self._started.append(task)
+        if self.is_entry and listen.load_port is not None:
+            loads = LoadExchange(
+                self._record,
+                listen.load_port,
+                self._placer,
+                self._limits.peers,
+                self._clock.wall_ms(),
+            )
+            await loads.start()
+            self._started.append(loads)
         self._loops = [spawn(self._follow()), spawn(self._keep_house())]
         if self.is_entry:
             await self._forwards.start(listen.host, listen.forward_port)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -128,7 +128,9 @@
 
     def _count(self, plan: Plan) -> None:
         if self._load is not None:
-            self._unread = self._load.begin(plan.facts.prompt)
+            self._unread = self._load.begin(
+                plan.facts.prompt, self._clock.now_ms()
+            )
             self._counted = True
 
     def _headers(self, request: WireRequest, plan: Plan) -> list[Header]:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/connection_pool.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/connection_pool.py
@@ -7,8 +7,9 @@
 
 from baobabwharf_daemon.proxy.endpoint_connection import EndpointConnection
 
-# A connection that an endpoint did not open by then is given up.
-_CONNECT_TIMEOUT_S = 1.0
+# Several round trips between regions; a lost opening packet comes again only
+# after a second, so a new connection is the faster way.
+_CONNECT_TIMEOUT_S = 0.4
 # Without a stated time-out an idle connection is reused that long.
 _DEFAULT_IDLE_MS = 4000
 # Margin against a close that crosses the next request.
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -14,8 +14,11 @@
     IngressLimits,
     RouteKind,
 )
+from baobabwharf_core.ids import CustomerId
+from baobabwharf_core.model import FleetConfig
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_core.requests import Reservation
+from baobabwharf_decisions.limits.start_allowance import StartAllowance
 from baobabwharf_decisions.proxying.routes import (
     RouteTable,
     allowed_regions,
@@ -41,6 +44,7 @@
 _RESERVE_WAIT_MS = 250
 
 TableSource = Callable[[], RouteTable | None]
+ConfigGetter = Callable[[], FleetConfig]
 Planned = Result['Prepared', Refusal]
 
 
@@ -58,11 +62,17 @@
     """Serve the caller listener and the forward listener."""
 
     def __init__(
-        self, tools: Tools, limits: LimitClient, table: TableSource
+        self,
+        tools: Tools,
+        limits: LimitClient,
+        table: TableSource,
+        config: ConfigGetter,
     ) -> None:
         self._tools = tools
         self._limits = limits
         self._table = table
+        self._config = config
+        self._allowance = StartAllowance(tools.clock.now_ms())
 
     def ingress_limits(self) -> IngressLimits:
         """Return what a caller may send."""
@@ -132,6 +142,8 @@
         customer = prepared.customer
         if customer is None or not customer.rate_tokens_per_s:
             return Ok(None)
+        if self._allowed_at_start(customer.customer_id, prepared.tokens):
+            return Ok(None)
         reserved = await self._limits.reserve(
             customer.customer_id, prepared.tokens, _RESERVE_WAIT_MS
         )
@@ -143,6 +155,15 @@
             refusal = Refusal(RefusalCode.RATE_EXCEEDED)
         return Error(refusal)
 
+    def _allowed_at_start(self, customer_id: CustomerId, tokens: int) -> bool:
+        config = self._config()
+        customer = config.customers.get(customer_id)
+        if customer is None:
+            return False
+        now_ms = self._tools.clock.now_ms()
+        vms = len(config.vms)
+        return self._allowance.take(customer, tokens, vms, now_ms)
+
     def _prepare(self, facts: CallFacts) -> Planned:
         table = self._table()
         if table is None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -1,7 +1,7 @@
 """Choose the endpoint or the region for each attempt."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import final
 
 import msgspec
@@ -16,7 +16,7 @@
     EndpointBook,
     EndpointRecord,
 )
-from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
+from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad, LoadShare
 from baobabwharf_decisions.proxying.prompt_backlog import (
     Backlog,
     Candidate,
@@ -95,6 +95,35 @@
             self._loads[record.endpoint_id] = known
         return known[1]
 
+    def own_shares(self) -> dict[EndpointId, LoadShare]:
+        """Return what this VM has at each endpoint."""
+        now_ms = self._clock.now_ms()
+        return {
+            endpoint_id: load.share(now_ms)
+            for endpoint_id, (_incarnation, load) in self._loads.items()
+        }
+
+    def take_shares(
+        self, vm_id: VmId, shares: Mapping[EndpointId, LoadShare]
+    ) -> None:
+        """Take what another VM of the region has at each endpoint."""
+        now_ms = self._clock.now_ms()
+        for endpoint_id, share in shares.items():
+            entry = self._book.entries.get(endpoint_id)
+            if entry is not None:
+                load = self.load(entry.record, _DEFAULT_CACHE_TOKENS)
+                load.note_share(vm_id, share, now_ms)
+
+    def forget_silent(self, silent_ms: int) -> None:
+        """Drop shares of silent VMs and loads of endpoints that are gone."""
+        now_ms = self._clock.now_ms()
+        for endpoint_id in tuple(self._loads):
+            if endpoint_id in self._book.entries:
+                load = self._loads[endpoint_id][1]
+                load.forget_silent(silent_ms, now_ms)
+            elif not self._loads[endpoint_id][1].running:
+                self._loads.pop(endpoint_id)
+
     def own_slots(self) -> dict[ServiceId, int]:
         """Return the slots of the endpoints of this region in use."""
         slots: dict[ServiceId, int] = {}
@@ -241,10 +270,12 @@
         if service.engine is None:
             return self._queue.choose(candidates)
         urgent = plan.facts.urgency == 0
+        now_ms = self._clock.now_ms()
         need = PromptNeed(
             plan.facts.prompt,
-            plan.target_ms - self._clock.now_ms(),
+            plan.target_ms - now_ms,
             URGENT_SHARE if urgent else LESS_URGENT_SHARE,
+            now_ms,
         )
         return self._backlog.choose(candidates, need)
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -3,8 +3,10 @@
 from typing import final
 
 import msgspec
+from baobabwharf_core.ids import VmId
 
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptCache
+from baobabwharf_decisions.proxying.reading_rate import ReadingRate
 
 _FAILURE_WEIGHT = 0.15
 # More failures than this share, beside a sound alternative, mark an endpoint.
@@ -21,6 +23,25 @@
     slots: int
 
 
+class LoadShare(msgspec.Struct, frozen=True):
+    """Tell other VMs of the region what this VM has at an endpoint."""
+
+    running: int
+    unread_tokens: int
+    recent_tokens: int
+
+
+@final
+class SharedLoad:
+    """Hold what another VM told last."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.unread_tokens = 0
+        self.reading = ReadingRate()
+        self.heard_ms = 0
+
+
 @final
 class EndpointLoad:
     """Count the own requests at one endpoint."""
@@ -31,9 +52,9 @@
         self.unread_tokens = 0
         self.sample: LoadSample | None = None
         self.sampled_ms = 0
+        self.reading = ReadingRate()
         # What other VMs of the region have there, as they told last.
-        self.others_running = 0
-        self.others_unread = 0
+        self.others: dict[VmId, SharedLoad] = {}
         self.failure_share = 0.0
         self._rests = 0
         self.rest_until_ms = 0
@@ -41,22 +62,56 @@
     @property
     def total_unread(self) -> int:
         """Return the unread prompt tokens of all known requests."""
-        return self.unread_tokens + self.others_unread
+        others = sum(other.unread_tokens for other in self.others.values())
+        return self.unread_tokens + others
 
     @property
     def total_running(self) -> int:
         """Return the running requests of all known VMs."""
-        return self.running + self.others_running
+        others = sum(other.running for other in self.others.values())
+        return self.running + others
 
     @property
     def failing(self) -> bool:
         """Tell whether it fails so often that others are preferred."""
         return self.failure_share > _FAILING_SHARE
 
-    def begin(self, prompt: Prompt) -> int:
+    def recent_tokens(self, now_ms: int) -> float:
+        """Return the decayed sum of prompt tokens sent by all known VMs."""
+        others = sum(
+            other.reading.recent(now_ms) for other in self.others.values()
+        )
+        return self.reading.recent(now_ms) + others
+
+    def share(self, now_ms: int) -> 'LoadShare':
+        """Return what other VMs need to know of the own requests."""
+        return LoadShare(
+            self.running,
+            self.unread_tokens,
+            int(self.reading.recent(now_ms)),
+        )
+
+    def note_share(self, vm_id: VmId, share: 'LoadShare', now_ms: int) -> None:
+        """Take what another VM has running here."""
+        known = self.others.setdefault(vm_id, SharedLoad())
+        known.running = share.running
+        known.unread_tokens = share.unread_tokens
+        known.reading.put(share.recent_tokens, now_ms)
+        known.heard_ms = now_ms
+
+    def forget_silent(self, silent_ms: int, now_ms: int) -> None:
+        """Drop the shares of VMs that told nothing for too long."""
+        self.others = {
+            vm_id: other
+            for vm_id, other in self.others.items()
+            if now_ms - other.heard_ms <= silent_ms
+        }
+
+    def begin(self, prompt: Prompt, now_ms: int) -> int:
         """Count a request that is sent; return its unread tokens."""
         unread = self.cache.unread_tokens(prompt)
         self.cache.note_read(prompt)
+        self.reading.add(unread, now_ms)
         self.running += 1
         self.unread_tokens += unread
         return unread
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -5,7 +5,8 @@
 token is the unread tokens ahead over the reading speed.  A session stays with
 its engine, which has read its shared parts, unless another one is ahead by
 more than a whole reading; a request that would get its first token after its
-target is refused at once.
+target is refused at once.  So is one that would keep the engine reading for
+so much of the time that long answers would miss their deadline.
 """
 
 import hashlib
@@ -17,6 +18,7 @@
 
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
+from baobabwharf_decisions.proxying.reading_rate import MEMORY_MS
 
 # Reading speed while other requests generate: a chunk of 4096 tokens takes
 # about 41 ms at 101 tokens per ms, and the step of a batch 4 to 5 ms more.
@@ -24,9 +26,15 @@
 # Time to the first token that no placement can save: one batch step, the
 # first event's tokens and the network.
 FIRST_EVENT_MS = 60
+# Reading speed of an engine that does nothing else, in tokens per ms.
+FULL_READ_TOKENS_PER_MS = 101
+# Part of an engine's time that may go into reading prompts: a long answer of
+# some 400 tokens then takes about 28 ms a token and ends within 12 s.
+MAX_READING_SHARE = 0.62
 # A session moves when its engine is behind by more than that.
 MOVE_TOKENS = 2000
 _DIGEST_BYTES = 8
+_MAX_RECENT = MAX_READING_SHARE * FULL_READ_TOKENS_PER_MS * MEMORY_MS
 
 
 class Candidate(msgspec.Struct):
@@ -40,13 +48,14 @@
 class PromptNeed(msgspec.Struct, frozen=True):
     """State the prompt of a request and the time left to its target.
 
-    share is the part of that time that a request of this urgency may fill
-    with the unread prompts of others.
+    share is the part of that time, and of the reading time of an engine, that
+    a request of this urgency may fill.
     """
 
     prompt: Prompt
     target_left_ms: int
     share: float
+    now_ms: int
 
 
 @final
@@ -93,6 +102,8 @@
     budget_ms = need.target_left_ms - FIRST_EVENT_MS
     bound = budget_ms * READ_TOKENS_PER_MS
     ahead = candidate.load.total_unread
+    if candidate.load.recent_tokens(need.now_ms) > _MAX_RECENT * need.share:
+        return False
     if ahead <= 0:
         # An idle engine serves what is late even at best.
         return True
