--- /dev/null
+++ b/features/steps/proxying.py
@@ -0,0 +1,419 @@
+"""Exercise the pure decisions about requests of a deployment."""
+
+import random
+
+import msgspec
+from baobabwharf_core import changes
+from baobabwharf_core.deployment import (
+    DeployedCustomer,
+    DeployedRoute,
+    DeployedService,
+    Deployment,
+    RouteKind,
+    RouteShare,
+)
+from baobabwharf_core.model import FleetConfig
+from baobabwharf_decisions.fleet_state.configuration import apply_change
+from baobabwharf_decisions.proxying.cold_pace import ColdPace
+from baobabwharf_decisions.proxying.endpoint_book import (
+    EndpointBook,
+    EndpointRecord,
+)
+from baobabwharf_decisions.proxying.region_rest import (
+    RegionOffer,
+    RegionRests,
+    home_region,
+)
+from baobabwharf_decisions.proxying.repeats import Ended, Sends
+from baobabwharf_decisions.proxying.retry_share import RetryShare
+from baobabwharf_decisions.proxying.routes import (
+    RouteTable,
+    allowed_regions,
+    key_digest,
+    split_service,
+)
+from behave import given, then, when
+from behave.runner import Context
+
+
+def route(prefix: str, **facts: object) -> DeployedRoute:
+    filled = {
+        'name': f'route {prefix}',
+        'host': 'h.example',
+        'path_prefix': prefix,
+        'kind': RouteKind.IDEMPOTENT,
+        'timeout_ms': 1000,
+        'target_ms': 400,
+        'priority': 0,
+        'shares': (RouteShare('s', 1),),
+        **facts,
+    }
+    return DeployedRoute(**filled)
+
+
+def customer(name: str, *homes: str) -> DeployedCustomer:
+    digest = key_digest(f'key-{name}'.encode())
+    return DeployedCustomer(name, (digest,), home_regions=homes)
+
+
+def deployment(version: int, *routes: DeployedRoute) -> Deployment:
+    return Deployment(
+        version,
+        routes or (route('/a/'),),
+        (DeployedService('s'),),
+        (customer('one'), customer('two')),
+        document=f'{version}'.encode(),
+    )
+
+
+class RouteSubject:
+    """Hold the routes of a deployment."""
+
+    def __init__(self, *prefixes: str) -> None:
+        self.table = RouteTable(deployment(1, *map(route, prefixes)))
+
+    def prefix(self, path: str) -> str | None:
+        found = self.table.find('H.example', path)
+        return found.ok.path_prefix if found.is_ok() else None
+
+
+class FleetSubject:
+    """Hold the configuration of a fleet."""
+
+    faults = {
+        'unknown service': deployment(
+            9, route('/a/', shares=(RouteShare('t', 1),))
+        ),
+        'same place': deployment(9, route('/a/'), route('/a/', name='other')),
+        'no weight': deployment(9, route('/a/', shares=(RouteShare('s', 0),))),
+        'no time-out': deployment(9, route('/a/', timeout_ms=0)),
+        'shared key': msgspec.structs.replace(
+            deployment(9),
+            customers=(customer('one'), customer('one')),
+        ),
+    }
+
+    def __init__(self, version: int) -> None:
+        self.config = FleetConfig()
+        assert self.install(deployment(version))
+
+    def install(self, wanted: Deployment) -> bool:
+        return self.apply(changes.InstallDeployment(wanted))
+
+    def apply(self, change: changes.Change) -> bool:
+        applied = apply_change(self.config, change)
+        if applied.is_ok():
+            self.config = applied.ok
+        return applied.is_ok()
+
+
+class BookSubject:
+    """Hold a book of endpoints."""
+
+    def __init__(self) -> None:
+        self.book = EndpointBook()
+
+    def take(
+        self, name: str, life: int, sequence: int, **facts: object
+    ) -> bool:
+        filled = {'address': f'{name}:80', **facts}
+        record = EndpointRecord(
+            name, 's', zone='z', region='r', slots=6, incarnation=life,
+            sequence=sequence, **filled,
+        )  # fmt: skip
+        self.book.take(record, now_ms=1000)
+        held = self.book.entries.get(name)
+        return held is not None and held.record == record
+
+
+@given('a deployment with the prefixes {prefixes}')
+def given_prefixes(context: Context, prefixes: str) -> None:
+    context.routes = RouteSubject(*prefixes.split())
+
+
+@then('path "{path}" takes the route of prefix "{prefix}"')
+def takes_route(context: Context, path: str, prefix: str) -> None:
+    assert context.routes.prefix(path) == prefix
+
+
+@then('path "{path}" takes no route')
+def takes_no_route(context: Context, path: str) -> None:
+    assert context.routes.prefix(path) is None
+
+
+@then('key "{key}" belongs to customer "{name}" on path "{path}"')
+def belongs(context: Context, key: str, name: str, path: str) -> None:
+    table = context.routes.table
+    found = table.authenticate(table.find('h.example', path).ok, key.encode())
+    assert found.ok.customer_id == name
+
+
+@then('an unknown key and a missing key are refused on path "{path}"')
+def refuses_keys(context: Context, path: str) -> None:
+    table = context.routes.table
+    found = table.find('h.example', path).ok
+    assert table.authenticate(found, b'other').error.status == 401
+    assert table.authenticate(found, None).error.status == 401
+
+
+@given('a route split {first:d} to {second:d} between two services')
+def split_route(context: Context, first: int, second: int) -> None:
+    shares = (RouteShare('big', first), RouteShare('small', second))
+    context.split = route('/a/', shares=shares)
+
+
+@then(
+    'of {count:d} request ids between {low:d} and {high:d} take the smaller share'
+)
+def counts_split(context: Context, count: int, low: int, high: int) -> None:
+    chosen = [split_service(context.split, f'id-{n}') for n in range(count)]
+    assert low <= chosen.count('small') <= high, chosen.count('small')
+
+
+@then('one request id always takes the same service')
+def splits_stably(context: Context) -> None:
+    assert len({split_service(context.split, 'id-1') for _try in range(9)}) == 1
+
+
+@then('a route at home in {first} and a customer in {second} leave {left}')
+def both_homes(context: Context, first: str, second: str, left: str) -> None:
+    homes = allowed_regions(
+        route('/a/', home_regions=tuple(first.split(','))),
+        customer('one', *second.split(',')),
+    )
+    assert homes == frozenset(left.split(','))
+
+
+@then('a route at home in {first} and a customer at home nowhere leave {left}')
+def route_homes(context: Context, first: str, left: str) -> None:
+    homes = allowed_regions(
+        route('/a/', home_regions=(first,)), customer('one')
+    )
+    assert homes == frozenset((left,))
+
+
+@then('a route and a customer without homes leave all regions')
+def no_homes(context: Context) -> None:
+    assert allowed_regions(route('/a/'), customer('one')) is None
+    assert allowed_regions(route('/a/'), None) is None
+
+
+@given('a fleet that holds deployment version {version:d}')
+def holds_version(context: Context, version: int) -> None:
+    context.fleet_config = FleetSubject(version)
+
+
+@then('version {low:d} and another text under version {held:d} change nothing')
+def changes_nothing(context: Context, low: int, held: int) -> None:
+    fleet = context.fleet_config
+    before = fleet.config
+    other = msgspec.structs.replace(deployment(held), document=b'other')
+    assert not fleet.install(deployment(low))
+    assert not fleet.install(other)
+    assert fleet.config == before
+
+
+@then('version {version:d} is in force after it is installed')
+def in_force(context: Context, version: int) -> None:
+    assert context.fleet_config.install(deployment(version))
+    assert context.fleet_config.config.deployment.version == version
+
+
+@then('a deployment with {fault} is refused and version {version:d} stays')
+def refuses_fault(context: Context, fault: str, version: int) -> None:
+    fleet = context.fleet_config
+    assert not fleet.install(fleet.faults[fault])
+    assert fleet.config.deployment.version == version
+
+
+@when('zone "{zone}" is evacuated twice')
+def evacuates(context: Context, zone: str) -> None:
+    change = changes.SetEvacuation(zone, True)
+    assert context.fleet_config.apply(change)
+    assert not context.fleet_config.apply(change)
+
+
+@when('zone "{zone}" is taken back')
+def takes_back(context: Context, zone: str) -> None:
+    assert context.fleet_config.apply(changes.SetEvacuation(zone, False))
+
+
+@then('the evacuated zones are "{zones}"')
+@then('the evacuated zones are ""')
+def evacuated_zones(context: Context, zones: str = '') -> None:
+    expected = tuple(zones.split(',')) if zones else ()
+    assert context.fleet_config.config.evacuated == expected
+
+
+@given(
+    'an endpoint book with endpoint "{name}" of life {life:d} at sequence {sequence:d}'
+)
+def given_book(context: Context, name: str, life: int, sequence: int) -> None:
+    context.endpoints = BookSubject()
+    assert context.endpoints.take(name, life, sequence)
+
+
+@then(
+    'the endpoint book ignores endpoint "{name}" of life {life:d} at sequence {sequence:d}'
+)
+def ignores(context: Context, name: str, life: int, sequence: int) -> None:
+    assert not context.endpoints.take(name, life, sequence)
+
+
+@then(
+    'the endpoint book takes endpoint "{name}" of life {life:d} at sequence {sequence:d}'
+)
+def takes(context: Context, name: str, life: int, sequence: int) -> None:
+    assert context.endpoints.take(name, life, sequence)
+
+
+@when('endpoint "{name}" leaves the endpoint book')
+def leaves(context: Context, name: str) -> None:
+    assert context.endpoints.book.leave(name, now_ms=1000)
+
+
+@when(
+    'endpoint "{name}" of life {life:d} registers at the address of "{other}"'
+)
+def reuses(context: Context, name: str, life: int, other: str) -> None:
+    assert context.endpoints.take(name, life, 1, address=f'{other}:80')
+
+
+@then('the endpoint book holds only "{name}"')
+def holds_only(context: Context, name: str) -> None:
+    assert set(context.endpoints.book.entries) == {name}
+
+
+@when('the endpoint book chills the zone of "{name}" until {until_ms:d} ms')
+def chills(context: Context, name: str, until_ms: int) -> None:
+    context.endpoints.book.chill(('z',), until_ms)
+
+
+@when(
+    'endpoint "{name}" of life {life:d} registers at sequence {sequence:d} with {cold_ms:d} ms cold'
+)
+def registers_cold(
+    context: Context, name: str, life: int, sequence: int, cold_ms: int
+) -> None:
+    assert context.endpoints.take(name, life, sequence, cold_left_ms=cold_ms)
+
+
+@then('endpoint "{name}" is cold until {until_ms:d} ms')
+def cold_until(context: Context, name: str, until_ms: int) -> None:
+    entry = context.endpoints.book.entries[name]
+    assert entry.cold_until_ms == until_ms, entry
+
+
+@given(
+    '{count:d} VMs of a region that pace a cold endpoint at {rate:d} a second'
+)
+def pacing_vms(context: Context, count: int, rate: int) -> None:
+    names = [f'vm-{number}' for number in range(count)]
+    context.paces = [ColdPace(name) for name in names]
+    context.cold_sent = []
+    generator = random.Random(1)
+    for now_ms in range(0, 10_000, 5):
+        pace = generator.choice(context.paces)
+        if pace.may_send('cold', rate, names, now_ms):
+            pace.note_sent('cold', now_ms)
+            context.cold_sent.append(now_ms)
+
+
+@then('in 10 s no window of 1 s holds more than {most:d} requests of all VMs')
+def cold_window(context: Context, most: int) -> None:
+    sent = context.cold_sent
+    for start_ms in sent:
+        window = [at for at in sent if start_ms <= at < start_ms + 1000]
+        assert len(window) <= most, window
+
+
+@then('in 10 s the endpoint gets at least {least:d} requests')
+def cold_count(context: Context, least: int) -> None:
+    assert len(context.cold_sent) >= least, len(context.cold_sent)
+
+
+@given('{count:d} VMs that repeat whatever fails')
+def repeating_vms(context: Context, count: int) -> None:
+    context.shares = [RetryShare() for _vm in range(count)]
+
+
+@then('of {count:d} failing requests at most {most:d} in 100 are repeated')
+def bounded_repeats(context: Context, count: int, most: int) -> None:
+    repeated = 0
+    for number in range(count):
+        share = context.shares[number % len(context.shares)]
+        share.note_request('s')
+        repeated += share.take('s')
+    assert 0 < repeated <= count * most // 100, repeated
+
+
+@given('a request that may be sent {most:d} times and is {kind}')
+def given_sends(context: Context, most: int, kind: str) -> None:
+    context.sends = Sends(most, kind == 'repeatable')
+
+
+@when('its attempts end with {ends}')
+def attempts_end(context: Context, ends: str) -> None:
+    for name in ends.split(','):
+        context.last_end = Ended(name)
+        context.sends.note(context.last_end)
+
+
+@then('it is refused as executed {executed} and may be sent on: {again}')
+def refused_as(context: Context, executed: str, again: str) -> None:
+    refusal = context.sends.refusal(context.last_end, 100)
+    assert refusal.executed.value == executed
+    promises = refusal.status in {408, 421, 429, 503}
+    assert promises == (executed == 'no'), refusal
+    assert context.sends.may_repeat(context.last_end) == (again == 'yes')
+
+
+@given('the regions {regions} and {count:d} sessions')
+def given_regions(context: Context, regions: str, count: int) -> None:
+    pairs = [place.split(':') for place in regions.split()]
+    context.region_slots = {name: int(slots) for name, slots in pairs}
+    context.sessions = [f'session-{number}' for number in range(count)]
+
+
+@then('each region keeps its share of the sessions within {points:d} in 100')
+def keeps_share(context: Context, points: int) -> None:
+    slots = context.region_slots
+    homes = [home_region(slots, name) for name in context.sessions]
+    for region, weight in slots.items():
+        wanted = weight / sum(slots.values())
+        share = homes.count(region) / len(homes)
+        assert abs(share - wanted) <= points / 100, (region, share, wanted)
+
+
+@then('without {gone} only the sessions of {same} move')
+def only_moves(context: Context, gone: str, same: str) -> None:
+    slots = context.region_slots
+    fewer = {name: slots[name] for name in slots if name != gone}
+    for session in context.sessions:
+        before = home_region(slots, session)
+        assert before == gone or home_region(fewer, session) == before
+
+
+@given('a region that refused urgency {urgency:d} at {at_ms:d} ms')
+def refused_region(context: Context, urgency: int, at_ms: int) -> None:
+    context.rests = RegionRests(random.Random(1))
+    context.rests.note_refusal('sfax', 's', urgency, at_ms)
+
+
+def chosen(context: Context, urgency: int, now_ms: int) -> bool:
+    offer = RegionOffer('sfax', 'vm', 6)
+    found = context.rests.choose((offer,), 's', urgency, now_ms)
+    return found is not None
+
+
+@then(
+    'at {now_ms:d} ms the region is chosen for urgency {one:d} but not for {other:d}'
+)
+def chosen_for(context: Context, now_ms: int, one: int, other: int) -> None:
+    assert chosen(context, one, now_ms)
+    assert not chosen(context, other, now_ms)
+
+
+@then('at {now_ms:d} ms the region is chosen for urgency {urgency:d}')
+def chosen_again(context: Context, now_ms: int, urgency: int) -> None:
+    assert chosen(context, urgency, now_ms)
--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -7,7 +7,7 @@
 from baobabwharf_core.changes import InstallDeployment, SetEvacuation
 from baobabwharf_core.clock import Clock
 from baobabwharf_decisions.consensus.messages import CoreStatus
-from baobabwharf_decisions.fleet_state.commands import ApplyChange
+from baobabwharf_decisions.fleet_state.commands import ApplyChange, Operation
 
 from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.formation import Formation
@@ -146,14 +146,11 @@
     async def propose(self, request: ProposeRequest) -> ProposeReply:
         """Commit an operation if this replica leads."""
         operation = request.operation
-        if isinstance(operation, ApplyChange) and isinstance(
-            operation.request.change, InstallDeployment | SetEvacuation
-        ):
-            # A group that is still too small can't bear the losses that it
-            # is meant to bear.
-            if not self._duties.is_formed():
-                sentence = 'Disk VMs are still joining the group.'
-                return ProposeReply(ReplyKind.REFUSED, sentence=sentence)
+        # A group that is still too small can't bear the losses that it is
+        # meant to bear.
+        if _needs_whole_group(operation) and not self._duties.is_formed():
+            sentence = 'Disk VMs are still joining the group.'
+            return ProposeReply(ReplyKind.REFUSED, sentence=sentence)
         return await self._calls.submit(request.operation, _SUBMIT_TIMEOUT_S)
 
     async def outcome(self, request: OutcomeRequest) -> OutcomeReply:
@@ -196,6 +193,13 @@
         return status is not None and status.is_leader
 
 
+def _needs_whole_group(operation: Operation) -> bool:
+    if not isinstance(operation, ApplyChange):
+        return False
+    change = operation.request.change
+    return isinstance(change, InstallDeployment | SetEvacuation)
+
+
 async def _repeat(work: Callable[[], Awaitable[None]], pause_s: float) -> None:
     while True:
         await work()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -174,7 +174,7 @@
         return ReplyKind.FAILURE
 
 
-async def read_rest(opened: Opened, limit: int) -> bytes | None | Lost:
+async def read_rest(opened: Opened, limit: int) -> bytes | Lost | None:
     """Return the whole body, None if it is longer than the limit."""
     body = bytearray()
     while True:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -22,7 +22,11 @@
     Candidate,
     PromptNeed,
 )
-from baobabwharf_decisions.proxying.region_rest import RegionRests, offers_of
+from baobabwharf_decisions.proxying.region_rest import (
+    RegionRests,
+    home_region,
+    offers_of,
+)
 from baobabwharf_decisions.proxying.slot_queue import SlotQueue
 from expression import Error, Ok, Result
 
@@ -32,7 +36,10 @@
 # Part of the time to the target that the prompts of others may fill; a less
 # urgent request leaves the rest to more urgent ones.
 URGENT_SHARE = 1.0
-LESS_URGENT_SHARE = 0.75
+LESS_URGENT_SHARE = 0.9
+# Reading so many shared tokens again takes longer than a round trip between
+# regions costs.
+SESSION_TOKENS = 3000
 _RETRY_AFTER_MS = 300
 _NO_ENDPOINT_RETRY_MS = 500
 # An endpoint that leaves by then would cut the request.
@@ -142,6 +149,9 @@
         refused: frozenset[RegionId],
     ) -> Placed:
         """Return where the next attempt goes, or why it goes nowhere."""
+        kept = self._session_region(plan, service, refused)
+        if kept is not None:
+            return Ok(kept)
         allowed = plan.allowed
         here = allowed is None or self._own.region in allowed
         candidates: list[Candidate] = []
@@ -172,6 +182,38 @@
             self._clock.now_ms(),
         )
 
+    def _session_region(
+        self,
+        plan: Plan,
+        service: DeployedService,
+        refused: frozenset[RegionId],
+    ) -> Place | None:
+        """Return the region that has read a long shared prompt."""
+        prompt = plan.facts.prompt
+        shared = sum(part.tokens for part in prompt[:-1])
+        first = not (plan.forwarded or refused or plan.sends.sent)
+        if service.engine is None or shared < SESSION_TOKENS or not first:
+            return None
+        own = self._own.region
+        slots = {
+            region: count
+            for (region, name), count in self.slots.items()
+            if name == service.name and region != own
+        }
+        slots[own] = self.own_slots().get(service.name, 0)
+        allowed = plan.allowed
+        if allowed is not None:
+            slots = {
+                region: count
+                for region, count in slots.items()
+                if region in allowed
+            }
+        home = home_region(slots, prompt[-2].part_id)
+        if home is None or home == own:
+            return None
+        others = frozenset(slots) - {home}
+        return self._away(plan, others)
+
     def _away(self, plan: Plan, refused: frozenset[RegionId]) -> Place | None:
         vms: dict[RegionId, list[VmId]] = {}
         records: dict[VmId, VmRecord] = {}
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
@@ -77,8 +77,9 @@
             return False
         self._drop_address(record)
         cold_until_ms = now_ms + record.cold_left_ms
-        if known is not None and record.cold_left_ms == 0:
-            cold_until_ms = min(known.cold_until_ms, now_ms)
+        if known is not None and known.record.incarnation == record.incarnation:
+            # A heartbeat may be older than the reason to treat it as cold.
+            cold_until_ms = max(cold_until_ms, known.cold_until_ms)
         self._entries[record.endpoint_id] = BookEntry(
             record, now_ms, cold_until_ms
         )
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -29,8 +29,8 @@
 # Reading speed of an engine that does nothing else, in tokens per ms.
 FULL_READ_TOKENS_PER_MS = 101
 # Part of an engine's time that may go into reading prompts: a long answer of
-# some 400 tokens then takes about 28 ms a token and ends within 12 s.
-MAX_READING_SHARE = 0.62
+# some 400 tokens then still ends within 12 s, as the emulator shows.
+MAX_READING_SHARE = 0.82
 # A session moves when its engine is behind by more than that.
 MOVE_TOKENS = 2000
 _DIGEST_BYTES = 8
--- a/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
@@ -5,6 +5,8 @@
 turn into a storm of forwarded requests that are refused there.
 """
 
+import hashlib
+import math
 import random
 from collections.abc import Iterable, Mapping
 from typing import final
@@ -14,6 +16,8 @@
 
 # About four round trips between regions: room there changes no faster.
 REST_MS = 200
+_DIGEST_BYTES = 8
+_POINTS = (1 << (8 * _DIGEST_BYTES)) + 1
 
 
 class RegionOffer(msgspec.Struct, frozen=True):
@@ -57,6 +61,27 @@
         return self._random.choices(awake, weights)[0]
 
 
+def home_region(slots: Mapping[RegionId, int], session: str) -> RegionId | None:
+    """Return the region whose engines keep a session, by weighted hashing.
+
+    A region with twice the slots keeps twice the sessions; when a region
+    comes or goes only its own sessions move.
+    """
+    return max(
+        sorted(region for region, count in slots.items() if count > 0),
+        key=lambda region: _weighted_score(region, session, slots[region]),
+        default=None,
+    )
+
+
+def _weighted_score(region: RegionId, session: str, weight: int) -> float:
+    digest = hashlib.blake2b(
+        f'{region} {session}'.encode(), digest_size=_DIGEST_BYTES
+    ).digest()
+    point = (int.from_bytes(digest, 'big') + 1) / _POINTS
+    return weight / -math.log(point)
+
+
 def offers_of(
     slots: Mapping[tuple[RegionId, ServiceId], int],
     vms: Mapping[RegionId, list[VmId]],
