Meter customers by told spending on the platform; leave stale upstreams

Lending stays where no slack is stated; the platform states one. A meter that waits 20 s for silent VMs fails the new feature.

--- a/features/steps/follow.py
+++ b/features/steps/follow.py
@@ -1,10 +1,17 @@
 """Exercise the choice of an upstream and the copy of the configuration."""
 
+import asyncio
+from types import SimpleNamespace
+
 from baobabwharf_core.changes import SetCap
+from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.model import Customer, FleetConfig, KeyRecord, VmRecord
+from baobabwharf_daemon.following import Following
+from baobabwharf_daemon.replica_messages import Confirmation, WatchReply
 from baobabwharf_decisions.follow import ConfigCopy, choose_upstream
 from behave import given, then, when
 from behave.runner import Context
+from expression import Error, Ok
 
 
 class FollowSubject:
@@ -92,3 +99,64 @@
     revision = subject.copy.config.revision + 1
     assert subject.copy.offer(subject.config(revision, keys={'key': key}))
     assert subject.copy.is_withdrawn(digest.encode())
+
+
+class FollowingSubject:
+    """Run the task that follows upstreams against a scripted client."""
+
+    def __init__(self, *names: str) -> None:
+        subject = FollowSubject()
+        subject.add('a9')
+        for name in names:
+            subject.add(name)
+        self.asked: list[str] = []
+        self.age_ms = 0
+        self.copy = ConfigCopy()
+        own = subject.vms.pop('a9')
+        live = {own.vm_id: own, **subject.vms}
+        self.own = own
+        book = SimpleNamespace(own=own, live=lambda: live, known=lambda: live)
+        sink = SimpleNamespace(
+            owns_state=lambda: False,
+            take=lambda item: True,
+            ready=True,
+            config=FollowSubject.config(4),
+        )
+        self.following = Following(book, self, SystemClock(), sink)
+
+    async def call(self, *arguments: object) -> object:
+        return Error(None)
+
+    async def stream(self, address: str, *arguments: object):
+        self.asked.append(address)
+        while True:
+            yield Ok(WatchReply((Confirmation(4, self.age_ms),)))
+            await asyncio.sleep(0.05)
+
+    def reset(self, address: str) -> None:
+        """Drop nothing: there are no connections."""
+
+    def run(self, seconds: float) -> None:
+        async def bounded() -> None:
+            task = asyncio.create_task(self.following.run_forever())
+            await asyncio.sleep(seconds)
+            task.cancel()
+
+        asyncio.run(bounded())
+
+
+@given('a VM that follows {first} while {second} and {third} live')
+def following_vm(context: Context, first: str, second: str, third: str) -> None:
+    context.following = FollowingSubject(first, second, third)
+
+
+@when('its upstream confirms revision 4 with an age of {age_ms:d} ms')
+def upstream_is_old(context: Context, age_ms: int) -> None:
+    context.following.age_ms = age_ms
+    context.following.run(1)
+
+
+@then('the VM follows another upstream within 1 s')
+def leaves_upstream(context: Context) -> None:
+    asked = context.following.asked
+    assert asked[0] == 'a1:1' and 'a2:1' in asked, asked
--- /dev/null
+++ b/features/steps/shared_meter.py
@@ -0,0 +1,170 @@
+"""Run meters of several VMs over links that delay, lose and cut."""
+
+import heapq
+import itertools
+import random
+
+from baobabwharf_core.model import Customer
+from baobabwharf_decisions.limits.shared_meter import SharedMeter
+from behave import given, then, when
+from behave.runner import Context
+
+_LINK_MS = 55
+_PERIOD_MS = 200
+_MEAN_TOKENS = 5000
+_WINDOW_MS = 8000
+_OVERAGE = 1.1
+
+
+class MeteringFleet:
+    """Hold the meters and the datagrams under way."""
+
+    def __init__(self, count: int, rate: int) -> None:
+        self.customer = Customer('hot', rate, rate)
+        self.names = [f'vm-{number}' for number in range(count)]
+        self.meters = {name: self.fresh(name, 1) for name in self.names}
+        self.under_way: list[tuple[int, int, str, object]] = []
+        self.numbers = itertools.count()
+        self.granted: list[tuple[int, int]] = []
+        self.asked = 0
+        self.refused = 0
+        self.frozen: tuple[str, int, int] = ('', 0, 0)
+        self.cut: tuple[int, int] = (0, 0)
+        self.loss = 0.0
+        self.restarts: dict[int, list[str]] = {}
+        self.moving = False
+
+    def fresh(self, name: str, life: int) -> SharedMeter:
+        meter = SharedMeter(name, life)
+        meter.configure({'hot': self.customer}, self.names)
+        return meter
+
+    def trouble(self, kind: str) -> None:
+        if kind == 'lost datagrams':
+            self.loss = 0.2
+        elif kind == 'a cut in halves':
+            self.cut = (10_000, 22_000)
+        elif kind == 'a VM that freezes':
+            self.frozen = (self.names[0], 12_000, 18_000)
+        elif kind == 'all VMs restart':
+            self.restarts = {15_000: self.names}
+        elif kind == 'single restarts':
+            self.restarts = {
+                at_ms: [self.names[at_ms // 2000 % len(self.names)]]
+                for at_ms in range(4000, 36_000, 2000)
+            }
+        else:
+            assert kind == 'nothing', kind
+
+    def run(self, factor: float, length_ms: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        per_ms = self.customer.rate_tokens_per_s * factor / 1000
+        due = 0.0
+        for now_ms in range(length_ms):
+            for name in self.restarts.get(now_ms, ()):
+                self.meters[name] = self.fresh(name, now_ms)
+            self.deliver(now_ms)
+            if now_ms % _PERIOD_MS == 0:
+                self.tell(now_ms)
+            due += per_ms
+            while due > 0:
+                due -= self.ask(now_ms)
+
+    def ask(self, now_ms: int) -> int:
+        tokens = int(self.random.uniform(0.2, 1.8) * _MEAN_TOKENS)
+        name = self.random.choice(self.names)
+        if self.moving:
+            name = self.names[now_ms // 3000 % len(self.names)]
+        if self.is_frozen(name, now_ms):
+            return tokens
+        self.asked += 1
+        if self.meters[name].take('hot', tokens, now_ms).is_ok():
+            self.granted.append((now_ms, tokens))
+        else:
+            self.refused += 1
+        return tokens
+
+    def is_frozen(self, name: str, now_ms: int) -> bool:
+        frozen, start_ms, end_ms = self.frozen
+        return name == frozen and start_ms <= now_ms < end_ms
+
+    def parted(self, one: str, other: str, now_ms: int) -> bool:
+        start_ms, end_ms = self.cut
+        half = len(self.names) // 2
+        sides = {self.names.index(name) < half for name in (one, other)}
+        return start_ms <= now_ms < end_ms and len(sides) > 1
+
+    def tell(self, now_ms: int) -> None:
+        for one, other in itertools.permutations(self.names, 2):
+            lost = self.random.random() < self.loss
+            silent = self.is_frozen(one, now_ms)
+            if lost or silent or self.parted(one, other, now_ms):
+                continue
+            entry = (
+                now_ms + _LINK_MS,
+                next(self.numbers),
+                other,
+                self.meters[one].report(),
+            )
+            heapq.heappush(self.under_way, entry)
+
+    def deliver(self, now_ms: int) -> None:
+        while self.under_way and self.under_way[0][0] <= now_ms:
+            _at, _number, name, told = heapq.heappop(self.under_way)
+            if not self.is_frozen(name, now_ms):
+                self.meters[name].hear(told, now_ms)
+
+    def most_in_window(self) -> int:
+        most = total = first = 0
+        for at_ms, tokens in self.granted:
+            total += tokens
+            while self.granted[first][0] <= at_ms - _WINDOW_MS:
+                total -= self.granted[first][1]
+                first += 1
+            most = max(most, total)
+        return most
+
+
+@given('{count:d} metering VMs and a customer of {rate:d} tokens/s')
+def metering_vms(context: Context, count: int, rate: int) -> None:
+    context.metering = MeteringFleet(count, rate)
+
+
+@when(
+    'it asks {factor:g} times its rate for {length:d} s, seed {seed:d}, with {trouble}'
+)
+def asks(
+    context: Context, factor: float, length: int, seed: int, trouble: str
+) -> None:
+    context.metering.trouble(trouble)
+    context.metering.run(factor, length * 1000, seed)
+
+
+@when(
+    'it asks {factor:g} times its rate for {length:d} s, seed {seed:d}, at a VM that changes'
+)
+def asks_moving(
+    context: Context, factor: float, length: int, seed: int
+) -> None:
+    context.metering.moving = True
+    context.metering.run(factor, length * 1000, seed)
+
+
+@then('no window of 8 s holds more than its cap and {slack:d} tokens')
+def within_cap(context: Context, slack: int) -> None:
+    fleet = context.metering
+    customer = fleet.customer
+    entitled = customer.rate_tokens_per_s * _WINDOW_MS // 1000
+    bound = (entitled + customer.burst_tokens) * _OVERAGE + slack
+    most = fleet.most_in_window()
+    assert most <= bound, (most, bound)
+    assert most >= entitled // 2, 'The fleet hands out too little to test.'
+
+
+@then('at most {most:d} in 100 of its requests are refused')
+def rarely_refused(context: Context, most: int) -> None:
+    fleet = context.metering
+    assert fleet.refused * 100 <= fleet.asked * most, (
+        fleet.refused,
+        fleet.asked,
+    )
--- a/features/unit/follow.feature
+++ b/features/unit/follow.feature
@@ -26,3 +26,8 @@
     Given a followed copy with revisions up to 3
     When the followed copy learns that key "gone" is withdrawn
     Then a state in which key "gone" works does not undo the withdrawal
+
+  Scenario: An upstream in a minority is left for one that is confirmed
+    Given a VM that follows a1(disk) while a2(disk) and b1(disk) live
+    When its upstream confirms revision 4 with an age of 5000 ms
+    Then the VM follows another upstream within 1 s
--- a/packages/daemon/src/baobabwharf_daemon/consensus_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/consensus_task.py
@@ -10,6 +10,11 @@
 from baobabwharf_decisions.fleet_state.commands import ApplyChange, Operation
 
 from baobabwharf_daemon.defects import spawn
+from baobabwharf_daemon.document_messages import (
+    DOCUMENT_PATH,
+    DocumentReply,
+    DocumentRequest,
+)
 from baobabwharf_daemon.formation import Formation
 from baobabwharf_daemon.leader_duties import LeaderDuties
 from baobabwharf_daemon.log import get_logger
@@ -18,15 +23,12 @@
 from baobabwharf_daemon.replica_links import ReplicaLinks
 from baobabwharf_daemon.replica_messages import (
     DELIVER_PATH,
-    DOCUMENT_PATH,
     JOIN_PATH,
     OUTCOME_PATH,
     PROPOSE_PATH,
     STATUS_PATH,
     Delivered,
     Delivery,
-    DocumentReply,
-    DocumentRequest,
     JoinReply,
     JoinRequest,
     OutcomeReply,
--- a/packages/daemon/src/baobabwharf_daemon/following.py
+++ b/packages/daemon/src/baobabwharf_daemon/following.py
@@ -14,6 +14,7 @@
 from baobabwharf_daemon.replica_messages import (
     FETCH_PATH,
     WATCH_PATH,
+    Confirmation,
     FetchReply,
     WatchItem,
     WatchReply,
@@ -25,6 +26,8 @@
 _FETCH_TIMEOUT_MS = 2000
 _PAUSE_S = 0.2
 _AVOID_MS = 3000
+# An upstream without news of the leader for so long is likely in a minority.
+_STALE_MS = 1500
 
 _log = get_logger('follower')
 
@@ -124,6 +127,9 @@
                 self._avoid(upstream, reply.error.sentence)
                 return
             taken = [self._sink.take(item) for item in reply.ok.items]
+            if any(map(_is_stale, reply.ok.items)):
+                self._avoid(upstream, 'its revision is not confirmed')
+                return
             if not all(taken) or self._upstream() != upstream:
                 return
 
@@ -136,3 +142,7 @@
     def _request(self) -> WatchRequest:
         revision = self._sink.config.revision if self._sink.ready else -1
         return WatchRequest(self._book.own.vm_id, revision)
+
+
+def _is_stale(item: WatchItem) -> bool:
+    return isinstance(item, Confirmation) and item.age_ms > _STALE_MS
--- a/packages/daemon/src/baobabwharf_daemon/leader_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/leader_client.py
@@ -12,13 +12,15 @@
 
 from baobabwharf_daemon.address_book import AddressBook
 from baobabwharf_daemon.consensus_task import ConsensusTask
-from baobabwharf_daemon.replica_messages import (
+from baobabwharf_daemon.document_messages import (
     DOCUMENT_PATH,
+    DocumentReply,
+    DocumentRequest,
+)
+from baobabwharf_daemon.replica_messages import (
     OUTCOME_PATH,
     PROPOSE_PATH,
     STATUS_PATH,
-    DocumentReply,
-    DocumentRequest,
     OutcomeReply,
     OutcomeRequest,
     ProposeReply,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -29,11 +29,11 @@
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
 from baobabwharf_daemon.proxy.dialect import Dialect
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
-from baobabwharf_daemon.proxy.exchange import Tools
 from baobabwharf_daemon.proxy.ingress import Ingress
-from baobabwharf_daemon.proxy.load_exchange import LoadExchange
 from baobabwharf_daemon.proxy.operator_desk import OperatorDesk
 from baobabwharf_daemon.proxy.placer import Placer
+from baobabwharf_daemon.proxy.telling import build_telling
+from baobabwharf_daemon.proxy.tools import Tools
 from baobabwharf_daemon.registration import Registration
 from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
 from baobabwharf_daemon.settings import Settings
@@ -85,12 +85,18 @@
         )
         self._tools = Tools(clock, dialect, self._placer, self.endpoints, log)
         self._table: RouteTable | None = None
-        self._ingress = Ingress(
-            self._tools,
-            self._limits.lending,
-            lambda: self._table,
+        telling = build_telling(
+            settings,
+            self._record,
+            clock,
+            self._placer.loads,
+            self._limits,
             lambda: self._consensus.follower.config,
         )
+        self._telling = telling.tasks
+        self._ingress = Ingress(
+            self._tools, telling.limits, lambda: self._table
+        )
         limits = self._ingress.ingress_limits
         self._callers = CallerListener(self._ingress.serve_caller, limits)
         self._forwards = CallerListener(self._ingress.serve_forwarded, limits)
@@ -140,23 +146,13 @@
         order: tuple[Task, ...] = (
             *self._consensus.tasks,
             self._limits.peers,
-            self._limits.lending,
+            *self._telling,
             self.endpoints,
             registration,
         )
         for task in order:
             await task.start()
             self._started.append(task)
-        if self.is_entry and listen.load_port is not None:
-            loads = LoadExchange(
-                self._record,
-                listen.load_port,
-                self._placer,
-                self._limits.peers,
-                self._clock.wall_ms(),
-            )
-            await loads.start()
-            self._started.append(loads)
         self._loops = [spawn(self._follow()), spawn(self._keep_house())]
         if self.is_entry:
             await self._forwards.start(listen.host, listen.forward_port)
@@ -262,11 +258,11 @@
         if region is None:
             return
         slots = decode(summary.payload, dict[ServiceId, int])
-        for key in tuple(self._placer.slots):
+        for key in tuple(self._placer.regions.slots):
             if key[0] == region:
-                self._placer.slots.pop(key)
+                self._placer.regions.slots.pop(key)
         for service, count in slots.items():
-            self._placer.slots[region, service] = count
+            self._placer.regions.slots[region, service] = count
 
     def _region_of(self, vm_id: VmId) -> RegionId | None:
         for vm in self._limits.peers.live_vms():
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -12,10 +12,7 @@
 
 from baobabwharf_daemon.proxy.connection_pool import ConnectionPool
 from baobabwharf_daemon.proxy.dialect import Dialect, SendFacts
-from baobabwharf_daemon.proxy.endpoint_connection import (
-    EndpointConnection,
-    Lost,
-)
+from baobabwharf_daemon.proxy.endpoint_connection import EndpointConnection
 from baobabwharf_daemon.proxy.messages import (
     Header,
     ReplyFacts,
@@ -25,6 +22,7 @@
 )
 from baobabwharf_daemon.proxy.placer import Place
 from baobabwharf_daemon.proxy.plan import Plan, facts_left
+from baobabwharf_daemon.proxy.reply_reader import Lost
 
 # Between VMs: the facts of a forwarded request, and how a refusal is meant.
 FORWARD_HEADER = b'Baobabwharf-Forward'
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/call.py
@@ -0,0 +1,98 @@
+"""Write the answer to one request of a caller."""
+
+import abc
+from typing import final
+
+from baobabwharf_daemon.proxy.messages import (
+    Header,
+    WireRequest,
+    encode_head,
+)
+
+_LAST_CHUNK = b'0\r\n\r\n'
+_NO_BODY = frozenset((204, 304))
+
+
+class AnswerChannel(abc.ABC):
+    """Carry the bytes of answers to a caller."""
+
+    @property
+    @abc.abstractmethod
+    def keeps_alive(self) -> bool:
+        """Tell whether another request may follow on the connection."""
+
+    @abc.abstractmethod
+    def write(self, block: bytes) -> None:
+        """Write bytes unless the caller is gone."""
+
+    @abc.abstractmethod
+    async def drain(self) -> None:
+        """Wait until the caller takes more bytes."""
+
+    @abc.abstractmethod
+    def end_call(self) -> None:
+        """Close the connection if no other request may follow."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """Reset the connection."""
+
+
+@final
+class Call:
+    """Hold a request and write its answer."""
+
+    def __init__(self, request: WireRequest, channel: AnswerChannel) -> None:
+        self._channel = channel
+        self._chunked = False
+        self.request = request
+        self.started = False
+
+    def start(
+        self,
+        status: int,
+        reason: bytes,
+        headers: list[Header],
+        length: int | None,
+    ) -> None:
+        """Write the head; without a length the body goes in chunks."""
+        self.started = True
+        framed = list(headers)
+        self._chunked = length is None and status not in _NO_BODY
+        if self._chunked:
+            framed.append((b'Transfer-Encoding', b'chunked'))
+        elif status not in _NO_BODY:
+            framed.append((b'Content-Length', b'%d' % (length or 0)))
+        if not self._channel.keeps_alive:
+            framed.append((b'Connection', b'close'))
+        line = b'HTTP/1.1 %d %s' % (status, reason)
+        self._channel.write(encode_head(line, framed))
+
+    def write(self, block: bytes) -> None:
+        """Write a part of the body."""
+        if self._chunked and block:
+            self._channel.write(b'%x\r\n%s\r\n' % (len(block), block))
+        elif block:
+            self._channel.write(block)
+
+    async def drain(self) -> None:
+        """Wait until the caller takes more bytes."""
+        await self._channel.drain()
+
+    def finish(self) -> None:
+        """End a whole answer."""
+        if self._chunked:
+            self._channel.write(_LAST_CHUNK)
+        self._channel.end_call()
+
+    def abort(self) -> None:
+        """End an answer so that it does not look whole."""
+        self._channel.abort()
+
+    def answer(
+        self, status: int, reason: bytes, headers: list[Header], body: bytes
+    ) -> None:
+        """Write a whole answer."""
+        self.start(status, reason, headers, len(body))
+        self.write(body)
+        self.finish()
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_calls.py
@@ -0,0 +1,73 @@
+"""Call other VMs about endpoints."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import final
+
+from baobabwharf_core.ids import EndpointId, RegionId
+from baobabwharf_core.model import VmRecord
+from baobabwharf_decisions.proxying.endpoint_book import EndpointRecord
+
+from baobabwharf_daemon.proxy.endpoint_messages import (
+    FETCH_PATH,
+    PUSH_PATH,
+    EndpointFetch,
+    EndpointPush,
+    EndpointPushed,
+)
+from baobabwharf_daemon.rpc import RpcClient
+
+# Above the round trip between the farthest regions; lost pushes are made up
+# for by the next renewals.
+_TIMEOUT_MS = 1000
+
+RecordSource = Callable[[Iterable[EndpointId]], tuple[EndpointRecord, ...]]
+
+
+@final
+class EndpointCalls:
+    """Own the calls that are under way."""
+
+    def __init__(self, client: RpcClient, records: RecordSource) -> None:
+        self._client = client
+        self._records = records
+        self._running: set[asyncio.Task[None]] = set()
+
+    def push(self, vm: VmRecord, push: EndpointPush) -> None:
+        """Send news to a VM; does not wait for it."""
+        call = asyncio.create_task(self._push(vm, push))
+        self._running.add(call)
+        call.add_done_callback(self._running.discard)
+
+    async def fetch(self, vm: VmRecord, region: RegionId) -> EndpointPush:
+        """Return the endpoints of a region that a VM knows."""
+        reply = await self._client.call(
+            vm.peer_address,
+            FETCH_PATH,
+            EndpointFetch(region),
+            EndpointPush,
+            _TIMEOUT_MS,
+        )
+        return reply.default_value(EndpointPush())
+
+    def cancel(self) -> None:
+        """Give up what is under way."""
+        for call in self._running:
+            call.cancel()
+
+    async def _push(self, vm: VmRecord, push: EndpointPush) -> None:
+        reply = await self._client.call(
+            vm.peer_address, PUSH_PATH, push, EndpointPushed, _TIMEOUT_MS
+        )
+        if reply.is_error():
+            self._client.reset(vm.peer_address)
+            return
+        missing = self._records(reply.ok.unknown)
+        if missing:
+            await self._client.call(
+                vm.peer_address,
+                PUSH_PATH,
+                EndpointPush(missing),
+                EndpointPushed,
+                _TIMEOUT_MS,
+            )
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
@@ -16,12 +16,18 @@
 from baobabwharf_daemon.address_book import AddressBook
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.defects import spawn
+from baobabwharf_daemon.proxy.endpoint_calls import EndpointCalls
+from baobabwharf_daemon.proxy.endpoint_messages import (
+    FETCH_PATH,
+    PUSH_PATH,
+    EndpointFetch,
+    EndpointPush,
+    EndpointPushed,
+    Renewal,
+)
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
 from baobabwharf_daemon.task import Task
 
-PUSH_PATH = '/baobabwharf.Endpoints/Push'
-FETCH_PATH = '/baobabwharf.Endpoints/Fetch'
-_TIMEOUT_MS = 1000
 # Lost pushes are made up for by the next renewals.
 _RENEW_S = 1.0
 _FETCH_PAUSE_S = 0.3
@@ -30,34 +36,6 @@
 _SILENT_MS = 30_000
 
 
-class Renewal(msgspec.Struct, frozen=True):
-    """Tell that an endpoint was heard with an unchanged state."""
-
-    endpoint_id: EndpointId
-    order: tuple[int, int]
-    cold_left_ms: int
-
-
-class EndpointPush(msgspec.Struct, frozen=True):
-    """Carry changed records, renewals and endpoints that left."""
-
-    records: tuple[EndpointRecord, ...] = ()
-    renewals: tuple[Renewal, ...] = ()
-    left: tuple[EndpointId, ...] = ()
-
-
-class EndpointPushed(msgspec.Struct, frozen=True):
-    """Confirm a push; unknown asks for the records of these endpoints."""
-
-    unknown: tuple[EndpointId, ...] = ()
-
-
-class EndpointFetch(msgspec.Struct, frozen=True):
-    """Ask for the endpoints of a region."""
-
-    region: RegionId
-
-
 @final
 class EndpointSync(Task):
     """Own the book of endpoints of this VM."""
@@ -70,12 +48,11 @@
         log: DecisionLog,
     ) -> None:
         self._vms = book
-        self._client = client
         self._clock = clock
         self._log = log
         self._beats: dict[EndpointId, EndpointRecord] = {}
         self._loops: list[asyncio.Task[None]] = []
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls = EndpointCalls(client, self._records)
         self.book = EndpointBook()
 
     def register(self, server: RpcServer) -> None:
@@ -95,7 +72,8 @@
 
     async def stop(self) -> None:
         """Stop renewing."""
-        for loop in (*self._loops, *self._calls):
+        self._calls.cancel()
+        for loop in self._loops:
             loop.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
 
@@ -181,29 +159,7 @@
     def _spread(self, push: EndpointPush, region: RegionId) -> None:
         for vm in self._vms.live().values():
             if vm.vm_id != self._vms.own.vm_id and _wants(vm, region):
-                self._start_call(vm, push)
-
-    def _start_call(self, vm: VmRecord, push: EndpointPush) -> None:
-        call = asyncio.create_task(self._push(vm, push))
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
-
-    async def _push(self, vm: VmRecord, push: EndpointPush) -> None:
-        reply = await self._client.call(
-            vm.peer_address, PUSH_PATH, push, EndpointPushed, _TIMEOUT_MS
-        )
-        if reply.is_error():
-            self._client.reset(vm.peer_address)
-            return
-        missing = self._records(reply.ok.unknown)
-        if missing:
-            await self._client.call(
-                vm.peer_address,
-                PUSH_PATH,
-                EndpointPush(missing),
-                EndpointPushed,
-                _TIMEOUT_MS,
-            )
+                self._calls.push(vm, push)
 
     def _records(
         self, endpoint_ids: Iterable[EndpointId]
@@ -219,7 +175,8 @@
                 self._log.record('endpoint_silent', endpoint=endpoint_id)
             beats = tuple(self._beats.values())
             self._beats.clear()
-            for region in {record.region for record in beats}:
+            regions = {record.region for record in beats}
+            for region in sorted(regions):
                 self._send_renewals(region, beats)
 
     def _send_renewals(
@@ -233,26 +190,18 @@
         for vm in self._vms.live().values():
             inside = vm.region == region
             if inside and vm.vm_id != self._vms.own.vm_id:
-                self._start_call(vm, EndpointPush(renewals=renewals))
+                self._calls.push(vm, EndpointPush(renewals=renewals))
 
     async def _fetch_first(self) -> None:
         """Ask the disk VMs until one of them knows endpoints."""
         while not self.book.entries:
             disks = self._vms.other_disk_vms()
-            await asyncio.gather(*(self._fetch(vm) for vm in disks))
+            region = self._vms.own.region
+            fetches = [self._calls.fetch(vm, region) for vm in disks]
+            for found in await asyncio.gather(*fetches):
+                await self._on_push(found)
             await asyncio.sleep(_FETCH_PAUSE_S)
 
-    async def _fetch(self, vm: VmRecord) -> None:
-        reply = await self._client.call(
-            vm.peer_address,
-            FETCH_PATH,
-            EndpointFetch(self._vms.own.region),
-            EndpointPush,
-            _TIMEOUT_MS,
-        )
-        if reply.is_ok():
-            await self._on_push(reply.ok)
-
 
 def _wants(vm: VmRecord, region: RegionId) -> bool:
     return vm.has_disk or vm.region == region
--- a/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
@@ -3,15 +3,11 @@
 import asyncio
 from typing import final
 
-from baobabwharf_core.clock import Clock
 from baobabwharf_core.deployment import DeployedService
-from baobabwharf_core.ids import EndpointId, RegionId
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
 from baobabwharf_decisions.proxying.repeats import Ended
-from baobabwharf_decisions.proxying.retry_share import RetryShare
 
-from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.proxy.attempt import (
     RETRY_HEADER,
     Attempt,
@@ -19,14 +15,12 @@
     ReplyKind,
     read_rest,
 )
-from baobabwharf_daemon.proxy.caller_connection import Call
-from baobabwharf_daemon.proxy.connection_pool import ConnectionPool
-from baobabwharf_daemon.proxy.dialect import Dialect
-from baobabwharf_daemon.proxy.endpoint_connection import Lost
-from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
+from baobabwharf_daemon.proxy.call import Call
 from baobabwharf_daemon.proxy.messages import Header, ReplyHead, end_to_end
-from baobabwharf_daemon.proxy.placer import Place, Placer
+from baobabwharf_daemon.proxy.placer import Avoided, Place
 from baobabwharf_daemon.proxy.plan import Plan
+from baobabwharf_daemon.proxy.reply_reader import Lost
+from baobabwharf_daemon.proxy.tools import Tools
 
 # Answers up to that size are passed on only once they are whole, so that a
 # cut one can be repeated or refused.
@@ -42,26 +36,6 @@
 }
 
 
-class Tools:
-    """Hold what all exchanges of a VM share."""
-
-    def __init__(
-        self,
-        clock: Clock,
-        dialect: Dialect,
-        placer: Placer,
-        sync: EndpointSync,
-        log: DecisionLog,
-    ) -> None:
-        self.clock = clock
-        self.dialect = dialect
-        self.placer = placer
-        self.sync = sync
-        self.log = log
-        self.pool = ConnectionPool(clock)
-        self.retries = RetryShare()
-
-
 @final
 class Exchange:
     """Serve one planned request; the outcome is None once answered."""
@@ -73,8 +47,7 @@
         self._call = call
         self._plan = plan
         self._service = service
-        self._excluded: frozenset[EndpointId] = frozenset()
-        self._refused: frozenset[RegionId] = frozenset()
+        self._avoided = Avoided()
         self._retry_after_ms: int | None = None
 
     async def run(self) -> Refusal | None:
@@ -98,7 +71,7 @@
     async def _attempt_all(self) -> Refusal | None:
         while True:
             placed = self._tools.placer.place(
-                self._plan, self._service, self._excluded, self._refused
+                self._plan, self._service, self._avoided
             )
             if placed.is_error():
                 return self._not_placed(placed.error)
@@ -154,7 +127,7 @@
             return None
         engine = self._service.engine
         tokens = engine.cache_tokens if engine else 0
-        return self._tools.placer.load(place.record, tokens)
+        return self._tools.placer.loads.load(place.record, tokens)
 
     def _learn(
         self,
@@ -182,11 +155,13 @@
             self._tools.pool.drop(place.address)
 
     def _exclude(self, place: Place) -> None:
-        if place.record is not None:
-            self._excluded |= {place.record.endpoint_id}
+        if place.record is None:
+            regions = self._avoided.regions | {place.region}
+            self._avoided = Avoided(self._avoided.endpoints, regions)
+            self._tools.placer.regions.note_refusal(self._plan, place.region)
         else:
-            self._refused |= {place.region}
-            self._tools.placer.note_region_refusal(self._plan, place.region)
+            endpoints = self._avoided.endpoints | {place.record.endpoint_id}
+            self._avoided = Avoided(endpoints, self._avoided.regions)
 
     async def _take_reply(
         self, attempt: Attempt, opened: Opened
@@ -226,7 +201,7 @@
         if body is None:
             return Ended.LOST
         attempt.whole()
-        self._answer(opened.head, body)
+        _answer(self._call, opened.head, body)
         return None
 
     async def _take_failure(
@@ -236,25 +211,28 @@
         if not isinstance(body, bytes):
             return Ended.LOST
         attempt.whole()
-        again = (
-            opened.head.status >= _SERVER_ERROR
-            and self._plan.sends.repeatable
-            and self._plan.sends.sent + 1 < self._plan.sends.max_attempts
-            and not self._plan.forwarded
-            and self._tools.retries.take(self._service.name)
-        )
-        if again:
+        if self._may_repeat_failure(opened.head):
             self._plan.sends.sent += 1
             self._log('repeat_failure', status=opened.head.status)
             second = await self._attempt_second()
             if second is None:
                 return None
-        self._answer(opened.head, body)
+        _answer(self._call, opened.head, body)
         return None
 
+    def _may_repeat_failure(self, head: ReplyHead) -> bool:
+        """Tell whether the endpoint's failure may be replaced by a result."""
+        sends = self._plan.sends
+        left = sends.sent + 1 < sends.max_attempts
+        if head.status < _SERVER_ERROR or not (sends.repeatable and left):
+            return False
+        if self._plan.forwarded:
+            return False
+        return self._tools.retries.take(self._service.name)
+
     async def _attempt_second(self) -> Ended | None:
         placed = self._tools.placer.place(
-            self._plan, self._service, self._excluded, self._refused
+            self._plan, self._service, self._avoided
         )
         if placed.is_error():
             return Ended.FAILED
@@ -283,15 +261,16 @@
         attempt.whole()
         self._call.finish()
 
-    def _answer(self, head: ReplyHead, body: bytes) -> None:
-        self._call.answer(head.status, head.reason, _passed_on(head), body)
-
     def _log(self, event: str, **fields: object) -> None:
         self._tools.log.record(
             event, request=self._plan.facts.request_id, **fields
         )
 
 
+def _answer(call: Call, head: ReplyHead, body: bytes) -> None:
+    call.answer(head.status, head.reason, _passed_on(head), body)
+
+
 def _passed_on(head: ReplyHead) -> list[Header]:
     return [
         pair
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -14,11 +14,8 @@
     IngressLimits,
     RouteKind,
 )
-from baobabwharf_core.ids import CustomerId
-from baobabwharf_core.model import FleetConfig
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_core.requests import Reservation
-from baobabwharf_decisions.limits.start_allowance import StartAllowance
 from baobabwharf_decisions.proxying.routes import (
     RouteTable,
     allowed_regions,
@@ -35,16 +32,16 @@
     OUTCOME_HEADER,
     RETRY_HEADER,
 )
-from baobabwharf_daemon.proxy.caller_connection import Call
-from baobabwharf_daemon.proxy.exchange import Exchange, Tools
+from baobabwharf_daemon.proxy.call import Call
+from baobabwharf_daemon.proxy.exchange import Exchange
 from baobabwharf_daemon.proxy.messages import CallFacts, Header
 from baobabwharf_daemon.proxy.plan import ForwardFacts, Plan, plan_of
+from baobabwharf_daemon.proxy.tools import Tools
 
 # Waiting for lent tokens takes a round trip between regions at most.
 _RESERVE_WAIT_MS = 250
 
 TableSource = Callable[[], RouteTable | None]
-ConfigGetter = Callable[[], FleetConfig]
 Planned = Result['Prepared', Refusal]
 
 
@@ -62,17 +59,11 @@
     """Serve the caller listener and the forward listener."""
 
     def __init__(
-        self,
-        tools: Tools,
-        limits: LimitClient,
-        table: TableSource,
-        config: ConfigGetter,
+        self, tools: Tools, limits: LimitClient, table: TableSource
     ) -> None:
         self._tools = tools
         self._limits = limits
         self._table = table
-        self._config = config
-        self._allowance = StartAllowance(tools.clock.now_ms())
 
     def ingress_limits(self) -> IngressLimits:
         """Return what a caller may send."""
@@ -142,8 +133,6 @@
         customer = prepared.customer
         if customer is None or not customer.rate_tokens_per_s:
             return Ok(None)
-        if self._allowed_at_start(customer.customer_id, prepared.tokens):
-            return Ok(None)
         reserved = await self._limits.reserve(
             customer.customer_id, prepared.tokens, _RESERVE_WAIT_MS
         )
@@ -155,15 +144,6 @@
             refusal = Refusal(RefusalCode.RATE_EXCEEDED)
         return Error(refusal)
 
-    def _allowed_at_start(self, customer_id: CustomerId, tokens: int) -> bool:
-        config = self._config()
-        customer = config.customers.get(customer_id)
-        if customer is None:
-            return False
-        now_ms = self._tools.clock.now_ms()
-        vms = len(config.vms)
-        return self._allowance.take(customer, tokens, vms, now_ms)
-
     def _prepare(self, facts: CallFacts) -> Planned:
         table = self._table()
         if table is None:
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
@@ -0,0 +1,68 @@
+"""Keep the loads of endpoints as the VMs of this region see them."""
+
+from collections.abc import Mapping
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_decisions.proxying.endpoint_book import (
+    EndpointBook,
+    EndpointRecord,
+)
+from baobabwharf_decisions.proxying.endpoint_load import (
+    EndpointLoad,
+    LoadShare,
+)
+
+# Until an endpoint gets its first request its memory does not matter.
+_UNKNOWN_CACHE_TOKENS = 500_000
+
+
+@final
+class LoadBook:
+    """Own one load for each incarnation of an endpoint."""
+
+    def __init__(self, clock: Clock, book: EndpointBook) -> None:
+        self._clock = clock
+        self._book = book
+        self._loads: dict[EndpointId, tuple[int, EndpointLoad]] = {}
+
+    def load(
+        self,
+        record: EndpointRecord,
+        cache_tokens: int = _UNKNOWN_CACHE_TOKENS,
+    ) -> EndpointLoad:
+        """Return the load of an endpoint; a new incarnation starts anew."""
+        known = self._loads.get(record.endpoint_id)
+        if known is None or known[0] != record.incarnation:
+            known = (record.incarnation, EndpointLoad(cache_tokens))
+            self._loads[record.endpoint_id] = known
+        return known[1]
+
+    def own_shares(self) -> dict[EndpointId, LoadShare]:
+        """Return what this VM has at each endpoint."""
+        now_ms = self._clock.now_ms()
+        return {
+            endpoint_id: load.share(now_ms)
+            for endpoint_id, (_incarnation, load) in self._loads.items()
+        }
+
+    def take_shares(
+        self, vm_id: VmId, shares: Mapping[EndpointId, LoadShare]
+    ) -> None:
+        """Take what another VM of the region has at each endpoint."""
+        now_ms = self._clock.now_ms()
+        for endpoint_id, share in shares.items():
+            entry = self._book.entries.get(endpoint_id)
+            if entry is not None:
+                self.load(entry.record).note_share(vm_id, share, now_ms)
+
+    def forget_silent(self, silent_ms: int) -> None:
+        """Drop shares of silent VMs and loads of endpoints that are gone."""
+        now_ms = self._clock.now_ms()
+        for endpoint_id in tuple(self._loads):
+            load = self._loads[endpoint_id][1]
+            if endpoint_id in self._book.entries:
+                load.forget_silent(silent_ms, now_ms)
+            elif not load.running:
+                self._loads.pop(endpoint_id)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
@@ -0,0 +1,98 @@
+"""Meter customers together with the other entry VMs of the fleet."""
+
+from collections.abc import Callable
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.ids import CustomerId
+from baobabwharf_core.model import FleetConfig, VmRecord
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_core.requests import Reservation
+from baobabwharf_decisions.limits.shared_meter import SharedMeter, Spending
+from expression import Error, Ok, Result
+
+from baobabwharf_daemon.interfaces import LimitClient, MembershipView
+from baobabwharf_daemon.proxy.datagrams import DatagramTask
+from baobabwharf_daemon.vm_records import host_of
+
+# What is spent in that time and on the way is the overshoot of the scheme.
+_PERIOD_S = 0.2
+# With more VMs each one tells less often: 50 datagrams a second a VM.
+_PERIOD_PER_VM_S = 0.02
+# A VM that spends nothing tells that it is still there.
+_REPEAT_PERIODS = 2
+
+ConfigGetter = Callable[[], FleetConfig]
+
+
+@final
+class Metering(DatagramTask, LimitClient):
+    """Own the meter of this VM."""
+
+    def __init__(
+        self,
+        own: VmRecord,
+        port: int,
+        clock: Clock,
+        members: MembershipView,
+        config: ConfigGetter,
+    ) -> None:
+        super().__init__(host_of(own), port)
+        self._own = own
+        self._clock = clock
+        self._members = members
+        self._config = config
+        self._meter = SharedMeter(own.vm_id, own.incarnation)
+        self._revision = -1
+        self._numbers = 0
+        self._told: dict[CustomerId, int] = {}
+        self._unchanged = 0
+
+    async def reserve(
+        self, customer_id: CustomerId, tokens: int, wait_ms: int
+    ) -> Result[Reservation, Refusal]:
+        """Spend tokens at once or tell when there are enough."""
+        self._follow()
+        taken = self._meter.take(customer_id, tokens, self._clock.now_ms())
+        if taken.is_error():
+            return Error(
+                Refusal(RefusalCode.RATE_EXCEEDED, retry_after_ms=taken.error)
+            )
+        self._numbers += 1
+        return Ok(Reservation(self._numbers, customer_id, tokens))
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """Give back what a reservation did not use."""
+        unused = reservation.tokens - used_tokens
+        if unused > 0:
+            self._meter.give_back(reservation.customer_id, unused)
+
+    def take(self, content: bytes) -> None:
+        """Take what another VM has spent."""
+        self._follow()
+        self._meter.hear(decode(content, Spending), self._clock.now_ms())
+
+    def tell(self) -> float:
+        """Send what this VM has spent."""
+        self._follow()
+        hosts = [
+            host_of(vm)
+            for vm in self._members.live_vms()
+            if not vm.has_disk and vm.vm_id != self._own.vm_id
+        ]
+        spending = self._meter.report()
+        same = spending.tokens == self._told
+        self._unchanged = self._unchanged + 1 if same else 0
+        if not self._unchanged % _REPEAT_PERIODS:
+            self._told = spending.tokens
+            self.send(encode(spending), hosts)
+        return max(_PERIOD_S, _PERIOD_PER_VM_S * len(hosts))
+
+    def _follow(self) -> None:
+        config = self._config()
+        if config.revision == self._revision:
+            return
+        self._revision = config.revision
+        entries = [vm.vm_id for vm in config.vms.values() if not vm.has_disk]
+        self._meter.configure(config.customers, entries)
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_reader.py
@@ -0,0 +1,137 @@
+"""Parse the requests of one connection within the limits of a deployment."""
+
+import abc
+from collections.abc import Callable
+from typing import Any, final
+
+import httptools
+from baobabwharf_core.deployment import IngressLimits
+
+from baobabwharf_daemon.proxy.messages import Header, WireRequest
+
+LimitsSource = Callable[[], IngressLimits]
+
+BAD_REQUEST = 400
+_BODY_TOO_LARGE = 413
+_HEADER_TOO_LARGE = 431
+_SEPARATORS = len(b': \r\n')
+
+
+class RequestSink(abc.ABC):
+    """Take what a reader finds."""
+
+    @abc.abstractmethod
+    def request_begins(self) -> None:
+        """Note that the first byte of a request has come."""
+
+    @abc.abstractmethod
+    def headers_end(self, *, awaits_continue: bool) -> None:
+        """Note that all headers have come."""
+
+    @abc.abstractmethod
+    def request_ends(self, request: WireRequest, *, keep_alive: bool) -> None:
+        """Take a whole request."""
+
+    @abc.abstractmethod
+    def refuse(self, status: int) -> None:
+        """Refuse a request that can't be read; nothing more is parsed."""
+
+
+class _Incoming:
+    """Collect one request while it is parsed."""
+
+    def __init__(self) -> None:
+        self.target = b''
+        self.headers: list[Header] = []
+        self.body = bytearray()
+        self.header_bytes = 0
+
+
+@final
+class RequestReader:
+    """Own the parser of one connection."""
+
+    def __init__(self, sink: RequestSink, limits: LimitsSource) -> None:
+        self._sink = sink
+        self._limits = limits
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._incoming: _Incoming | None = None
+        self._refused = False
+
+    @property
+    def inside(self) -> bool:
+        """Tell whether a request has begun and not ended."""
+        return self._incoming is not None
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes of the caller."""
+        if self._refused:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._refuse(BAD_REQUEST)
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._incoming = _Incoming()
+        self._sink.request_begins()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        if self._incoming is not None:
+            self._incoming.target += url
+            self._count_header(self._incoming, len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        if self._incoming is not None:
+            self._incoming.headers.append((name, value))
+            size = len(name) + len(value) + _SEPARATORS
+            self._count_header(self._incoming, size)
+
+    def on_headers_complete(self) -> None:
+        """Tell whether the caller waits before it sends the body."""
+        if self._incoming is None:
+            return
+        awaits_continue = any(
+            name.lower() == b'expect' and value.lower() == b'100-continue'
+            for name, value in self._incoming.headers
+        )
+        self._sink.headers_end(awaits_continue=awaits_continue)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body."""
+        incoming = self._incoming
+        if incoming is None:
+            return
+        if len(incoming.body) + len(body) > self._limits().max_body_bytes:
+            self._refuse(_BODY_TOO_LARGE)
+        else:
+            incoming.body += body
+
+    def on_message_complete(self) -> None:
+        """Pass on a whole request."""
+        incoming = self._incoming
+        self._incoming = None
+        if incoming is None:
+            return
+        request = WireRequest(
+            self._parser.get_method(),
+            incoming.target,
+            tuple(incoming.headers),
+            bytes(incoming.body),
+        )
+        keep_alive = self._parser.should_keep_alive()
+        self._sink.request_ends(request, keep_alive=keep_alive)
+
+    def _count_header(self, incoming: _Incoming, size: int) -> None:
+        incoming.header_bytes += size
+        if incoming.header_bytes > self._limits().max_header_bytes:
+            self._refuse(_HEADER_TOO_LARGE)
+
+    def _refuse(self, status: int) -> None:
+        if not self._refused:
+            self._refused = True
+            self._incoming = None
+            self._sink.refuse(status)
--- a/packages/daemon/src/baobabwharf_daemon/replica_calls.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_calls.py
@@ -10,10 +10,12 @@
 from baobabwharf_decisions.fleet_state.commands import Command, Operation
 from expression import Error, Result
 
+from baobabwharf_daemon.document_messages import (
+    DocumentReply,
+)
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.replica_engine import ReplicaEngine
 from baobabwharf_daemon.replica_messages import (
-    DocumentReply,
     OutcomeReply,
     ProposeReply,
     ReplyKind,
--- a/packages/daemon/src/baobabwharf_daemon/replica_messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/replica_messages.py
@@ -14,7 +14,6 @@
 JOIN_PATH = '/baobabwharf.Consensus/Join'
 PROPOSE_PATH = '/baobabwharf.Changes/Propose'
 OUTCOME_PATH = '/baobabwharf.Changes/Outcome'
-DOCUMENT_PATH = '/baobabwharf.Changes/Document'
 WATCH_PATH = '/baobabwharf.Follow/Watch'
 FETCH_PATH = '/baobabwharf.Follow/Fetch'
 
@@ -101,23 +100,6 @@
     leader_id: VmId | None = None
 
 
-class DocumentRequest(msgspec.Struct, frozen=True):
-    """Ask the leader for the document of the newest deployment."""
-
-    sender: VmId
-
-
-class DocumentReply(msgspec.Struct, frozen=True):
-    """Give the document, read after a majority confirmed the leader.
-
-    It is None while no deployment was accepted.
-    """
-
-    kind: ReplyKind
-    document: bytes | None = None
-    leader_id: VmId | None = None
-
-
 class WatchRequest(msgspec.Struct, frozen=True):
     """Ask for the configuration after a revision, -1 if there is none."""
 
--- a/packages/daemon/src/baobabwharf_daemon/vm_records.py
+++ b/packages/daemon/src/baobabwharf_daemon/vm_records.py
@@ -24,6 +24,11 @@
     )
 
 
+def host_of(vm: VmRecord) -> str:
+    """Return the IP address of a VM."""
+    return vm.peer_address.rpartition(':')[0]
+
+
 def seed_record(peer: Peer) -> VmRecord:
     """Return the record of a VM that is contacted at start."""
     return VmRecord(
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
@@ -99,15 +99,15 @@
     def expire(self, silent_ms: int, now_ms: int) -> list[EndpointId]:
         """Drop the endpoints that were silent for too long."""
         silent = [
-            endpoint_id
-            for endpoint_id, entry in self._entries.items()
+            name
+            for name, entry in self._entries.items()
             if now_ms - entry.heard_ms > silent_ms
         ]
         for endpoint_id in silent:
             self._entries.pop(endpoint_id)
         self._left = {
-            endpoint_id: (incarnation, at_ms)
-            for endpoint_id, (incarnation, at_ms) in self._left.items()
+            name: (incarnation, at_ms)
+            for name, (incarnation, at_ms) in self._left.items()
             if now_ms - at_ms <= _LEFT_KEPT_MS
         }
         return silent
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -32,7 +32,7 @@
 # some 400 tokens then still ends within 12 s, as the emulator shows.
 MAX_READING_SHARE = 0.82
 # A session moves when its engine is behind by more than that.
-MOVE_TOKENS = 2000
+MOVE_TOKENS = 20_000
 _DIGEST_BYTES = 8
 _MAX_RECENT = MAX_READING_SHARE * FULL_READ_TOKENS_PER_MS * MEMORY_MS
 
@@ -69,11 +69,13 @@
         open_now = [one for one in candidates if _has_slot(one)]
         if not open_now:
             return None
-        best = min(open_now, key=lambda one: _ahead(one, need.prompt))
+        fit = [one for one in open_now if _in_time(one, need)]
+        if not fit:
+            return None
+        best = min(fit, key=lambda one: _ahead(one, need.prompt))
         home = home_of(open_now, need.prompt)
         margin = _ahead(home, need.prompt) - _ahead(best, need.prompt)
-        chosen = home if margin <= MOVE_TOKENS else best
-        return chosen if _in_time(chosen, need) else None
+        return home if home in fit and margin <= MOVE_TOKENS else best
 
 
 def home_of(candidates: Sequence[Candidate], prompt: Prompt) -> Candidate:
--- a/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
@@ -88,7 +88,7 @@
     service: ServiceId,
     allowed: frozenset[RegionId] | None,
     own: RegionId,
-    excluded: frozenset[RegionId] = frozenset(),
+    excluded: frozenset[RegionId],
 ) -> list[RegionOffer]:
     """Return one offer for each VM of the regions that may serve."""
     return [
--- a/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
@@ -8,6 +8,7 @@
     DeployedRoute,
     DeployedService,
     Deployment,
+    RouteShare,
 )
 from baobabwharf_core.ids import RegionId, ServiceId
 from baobabwharf_core.refusals import Refusal, RefusalCode
@@ -33,7 +34,7 @@
         for route in deployment.routes:
             self._hosts.setdefault(route.host.lower(), []).append(route)
         for routes in self._hosts.values():
-            routes.sort(key=lambda route: -len(route.path_prefix))
+            routes.sort(key=_specificity)
         self._customers = {
             digest: customer
             for customer in deployment.customers
@@ -72,6 +73,14 @@
         return self._services.get(name)
 
 
+def _weight(share: RouteShare) -> float:
+    return share.weight
+
+
+def _specificity(route: DeployedRoute) -> int:
+    return -len(route.path_prefix)
+
+
 def split_service(route: DeployedRoute, request_id: str) -> ServiceId:
     """Choose the service of a request by the weights of its route."""
     total = sum(share.weight for share in route.shares)
@@ -83,7 +92,7 @@
         point -= share.weight
         if point < 0:
             return share.service
-    return max(route.shares, key=lambda share: share.weight).service
+    return max(route.shares, key=_weight).service
 
 
 def allowed_regions(
--- a/packages/testkit/src/baobabwharf_testkit/engine_emulator.py
+++ b/packages/testkit/src/baobabwharf_testkit/engine_emulator.py
@@ -199,8 +199,8 @@
             int(at_ms),
         )
         candidates = [
-            Candidate(name, engine.load, SLOTS)
-            for name, engine in self._engines.items()
+            Candidate(name, one.load, SLOTS)
+            for name, one in self._engines.items()
         ]
         chosen = self._choose(candidates, need)
         if chosen is None:
