Join the fleet once requests can be served; serve metrics

Ruled out: an evacuation, silent endpoints (no such lines). Change: endpoints are taken as disk VMs answer, gossip begins once deployment and endpoints are known, unreachable VMs rest for themselves, and the only region that may serve never rests. Metrics are served on their own listener with latency histograms.

--- a/features/steps/proxying.py
+++ b/features/steps/proxying.py
@@ -23,6 +23,7 @@
     RegionOffer,
     RegionRests,
     home_region,
+    offers_of,
 )
 from baobabwharf_decisions.proxying.repeats import Ended, Sends
 from baobabwharf_decisions.proxying.retry_share import RetryShare
@@ -417,3 +418,36 @@
 @then('at {now_ms:d} ms the region is chosen for urgency {urgency:d}')
 def chosen_again(context: Context, now_ms: int, urgency: int) -> None:
     assert chosen(context, urgency, now_ms)
+
+
+@then(
+    'at {now_ms:d} ms the region is chosen for urgency {urgency:d} if no other may serve'
+)
+def chosen_as_only(context: Context, now_ms: int, urgency: int) -> None:
+    offers = offers_of(
+        {('sfax', 's'): 6},
+        {'sfax': ['vm']},
+        's',
+        frozenset(('sfax',)),
+        'tunis',
+        frozenset(),
+    )
+    found = context.rests.choose(offers, 's', urgency, now_ms)
+    assert found is not None
+
+
+@when("its VM can't be reached at {at_ms:d} ms")
+def unreachable(context: Context, at_ms: int) -> None:
+    context.rests.note_unreachable('vm', at_ms)
+
+
+@then(
+    'at {now_ms:d} ms another VM of the region is chosen for urgency {urgency:d}'
+)
+def other_vm(context: Context, now_ms: int, urgency: int) -> None:
+    offers = [RegionOffer('sfax', name, 6) for name in ('vm', 'other')]
+    chosen_vms = {
+        context.rests.choose(offers, 's', urgency, now_ms).vm_id
+        for _try in range(20)
+    }
+    assert chosen_vms == {'other'}, chosen_vms
--- a/features/steps/shared_meter.py
+++ b/features/steps/shared_meter.py
@@ -33,6 +33,7 @@
         self.loss = 0.0
         self.restarts: dict[int, list[str]] = {}
         self.moving = False
+        self.period_ms = _PERIOD_MS
 
     def fresh(self, name: str, life: int) -> SharedMeter:
         meter = SharedMeter(name, life)
@@ -64,7 +65,7 @@
             for name in self.restarts.get(now_ms, ()):
                 self.meters[name] = self.fresh(name, now_ms)
             self.deliver(now_ms)
-            if now_ms % _PERIOD_MS == 0:
+            if now_ms % self.period_ms == 0:
                 self.tell(now_ms)
             due += per_ms
             while due > 0:
@@ -150,6 +151,19 @@
     context.metering.run(factor, length * 1000, seed)
 
 
+@when(
+    'they tell every {period_ms:d} ms and it asks {factor:g} times its rate for {length:d} s, seed {seed:d}'
+)
+def tell_rarely(
+    context: Context, period_ms: int, factor: float, length: int, seed: int
+) -> None:
+    fleet = context.metering
+    fleet.period_ms = period_ms
+    for meter in fleet.meters.values():
+        meter.tell_every(period_ms)
+    fleet.run(factor, length * 1000, seed)
+
+
 @then('no window of 8 s holds more than its cap and {slack:d} tokens')
 def within_cap(context: Context, slack: int) -> None:
     fleet = context.metering
--- a/features/unit/proxying.feature
+++ b/features/unit/proxying.feature
@@ -106,3 +106,9 @@
     Given a region that refused urgency 1 at 1000 ms
     Then at 1100 ms the region is chosen for urgency 0 but not for 1
     And at 1300 ms the region is chosen for urgency 1
+
+  Scenario: Only the VM that can't be reached rests, and never the only region
+    Given a region that refused urgency 1 at 1000 ms
+    Then at 1100 ms the region is chosen for urgency 1 if no other may serve
+    When its VM can't be reached at 1100 ms
+    Then at 1200 ms another VM of the region is chosen for urgency 0
--- a/features/unit/shared_meter.feature
+++ b/features/unit/shared_meter.feature
@@ -23,6 +23,11 @@
     When it asks 0.7 times its rate for 40 s, seed 7, at a VM that changes
     Then at most 1 in 100 of its requests are refused
 
+  Scenario: Many VMs that tell rarely do not take each other for silent
+    Given 40 metering VMs and a customer of 1000000 tokens/s
+    When they tell every 800 ms and it asks 0.7 times its rate for 20 s, seed 9
+    Then at most 1 in 100 of its requests are refused
+
   Scenario: A customer is served soon after all VMs restart
     Given 6 metering VMs and a customer of 100000 tokens/s
     When it asks 0.5 times its rate for 40 s, seed 8, with all VMs restart
--- a/packages/daemon/src/baobabwharf_daemon/metrics.py
+++ b/packages/daemon/src/baobabwharf_daemon/metrics.py
@@ -1,6 +1,6 @@
 """Count what the daemon does, with bounded label sets."""
 
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 REGISTRY = Registry()
 
@@ -20,6 +20,29 @@
     'Requests forwarded by region.',
     registry=REGISTRY,
 )
+ATTEMPTS = Counter(
+    'baobabwharf_attempts_ended_total',
+    'Attempts that gave no answer, by how they ended.',
+    registry=REGISTRY,
+)
+# Bounds around the usual targets of some hundred ms and the deadlines.
+LATENCY = Histogram(
+    'baobabwharf_request_seconds',
+    'Time from a whole request to the end of its answer, by route.',
+    registry=REGISTRY,
+    buckets=[0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 6.0, 12.0],
+)
+FIRST_BLOCK = Histogram(
+    'baobabwharf_first_block_seconds',
+    'Time from a whole request to the first byte of its answer, by route.',
+    registry=REGISTRY,
+    buckets=[0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 6.0, 12.0],
+)
+DROPPED_LINES = Gauge(
+    'baobabwharf_log_lines_dropped',
+    'Log lines that were dropped because nobody read them.',
+    registry=REGISTRY,
+)
 REVISION = Gauge(
     'baobabwharf_config_revision',
     'Configuration revision in force.',
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -6,15 +6,11 @@
 
 import asyncio
 import random
-import signal
-from collections.abc import Callable
 from typing import final
 
 from baobabwharf_core.clock import SystemClock
-from baobabwharf_core.codec import decode, encode
-from baobabwharf_core.ids import Incarnation, RegionId, ServiceId, VmId
+from baobabwharf_core.ids import Incarnation
 from baobabwharf_core.model import FleetConfig, VmRecord
-from baobabwharf_decisions.membership.items import Summary
 from baobabwharf_decisions.proxying.routes import RouteTable
 
 from baobabwharf_daemon.address_book import AddressBook
@@ -24,14 +20,17 @@
 )
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.defects import spawn
+from baobabwharf_daemon.gateway.http_server import HttpServer
 from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
 from baobabwharf_daemon.metrics import REVISION
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
 from baobabwharf_daemon.proxy.dialect import Dialect
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
 from baobabwharf_daemon.proxy.ingress import Ingress
+from baobabwharf_daemon.proxy.metrics_listener import metrics_server
 from baobabwharf_daemon.proxy.operator_desk import OperatorDesk
 from baobabwharf_daemon.proxy.placer import Placer
+from baobabwharf_daemon.proxy.region_slots import RegionSlots
 from baobabwharf_daemon.proxy.telling import build_telling
 from baobabwharf_daemon.proxy.tools import Tools
 from baobabwharf_daemon.registration import Registration
@@ -40,12 +39,14 @@
 from baobabwharf_daemon.task import Task
 from baobabwharf_daemon.vm_records import own_record
 
-_SLOTS_TOPIC = 'slots'
 _HOUSEKEEPING_S = 0.25
-_SLOTS_PERIOD_MS = 500
 # After a stop request callers still connect with older addresses.
 _LINGER_MS = 3000
 _STOP_POLL_S = 0.05
+# VMs that join before they know endpoints only refuse; a fleet that starts
+# for the first time has none yet.
+_KNOWLEDGE_MS = 2500
+_KNOWLEDGE_POLL_S = 0.02
 # An endpoint taken back into use may be cold that much longer than stated.
 _COLD_MARGIN_MS = 1000
 
@@ -110,8 +111,8 @@
         self._stop_requested = asyncio.Event()
         self._loops: list[asyncio.Task[None]] = []
         self._started: list[Task] = []
-        self._published = (0, b'')
-        self._limits.peers.listeners.on_summary(self._on_summary)
+        self._metrics: HttpServer | None = None
+        self._slots = RegionSlots(clock, self._placer, self._limits.peers)
 
     @property
     def record(self) -> VmRecord:
@@ -143,17 +144,14 @@
             self._consensus.changes,
             self._random,
         )
-        order: tuple[Task, ...] = (
-            *self._consensus.tasks,
-            self._limits.peers,
-            *self._telling,
-            self.endpoints,
-            registration,
-        )
-        for task in order:
-            await task.start()
-            self._started.append(task)
+        await self._start_all((*self._consensus.tasks, self.endpoints))
         self._loops = [spawn(self._follow()), spawn(self._keep_house())]
+        if self.is_entry:
+            await self._await_knowledge()
+        await self._start_all(
+            (self._limits.peers, *self._telling, registration)
+        )
+        await self._serve_metrics()
         if self.is_entry:
             await self._forwards.start(listen.host, listen.forward_port)
             await self._callers.start(listen.host, listen.caller_port)
@@ -185,8 +183,30 @@
         self._tools.pool.close()
         self._client.close()
         await self._server.stop()
+        if self._metrics is not None:
+            await self._metrics.stop()
         self._log.record('vm_stopped')
 
+    async def _serve_metrics(self) -> None:
+        listen = self._settings.listen
+        if listen.metrics_port is not None:
+            server = metrics_server(listen.host, listen.metrics_port)
+            await server.start()
+            self._metrics = server
+
+    async def _start_all(self, tasks: tuple[Task, ...]) -> None:
+        for task in tasks:
+            await task.start()
+            self._started.append(task)
+
+    async def _await_knowledge(self) -> None:
+        """Join the fleet once requests can be served, or after a while."""
+        deadline_ms = self._clock.now_ms() + _KNOWLEDGE_MS
+        while self._clock.now_ms() < deadline_ms:
+            if self._table is not None and self.endpoints.book.entries:
+                return
+            await asyncio.sleep(_KNOWLEDGE_POLL_S)
+
     async def _drain(self) -> None:
         begun_ms = self._clock.now_ms()
         deadline_ms = begun_ms + self._settings.drain_deadline_ms
@@ -237,39 +257,9 @@
         while True:
             self._tools.pool.sweep()
             if self.is_entry:
-                self._publish_slots()
+                self._slots.publish()
             await asyncio.sleep(_HOUSEKEEPING_S)
 
-    def _publish_slots(self) -> None:
-        payload = encode(self._placer.own_slots())
-        now_ms = self._clock.now_ms()
-        at_ms, published = self._published
-        if payload == published or now_ms - at_ms < _SLOTS_PERIOD_MS:
-            return
-        self._published = (now_ms, payload)
-        self._limits.peers.publish_summary(
-            _SLOTS_TOPIC, self._clock.wall_ms(), payload
-        )
-
-    def _on_summary(self, summary: Summary) -> None:
-        if summary.topic != _SLOTS_TOPIC:
-            return
-        region = self._region_of(summary.origin)
-        if region is None:
-            return
-        slots = decode(summary.payload, dict[ServiceId, int])
-        for key in tuple(self._placer.regions.slots):
-            if key[0] == region:
-                self._placer.regions.slots.pop(key)
-        for service, count in slots.items():
-            self._placer.regions.slots[region, service] = count
-
-    def _region_of(self, vm_id: VmId) -> RegionId | None:
-        for vm in self._limits.peers.live_vms():
-            if vm.vm_id == vm_id:
-                return vm.region
-        return None
-
     def _build_consensus(self) -> ConsensusParts:
         return build_consensus_parts(
             self._settings,
@@ -289,11 +279,3 @@
             self._client,
             self._consensus.follower,
         )
-
-
-def handle_signals(daemon: ProxyDaemon, reload: Callable[[], None]) -> None:
-    """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, daemon.request_stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
@@ -198,8 +198,9 @@
             disks = self._vms.other_disk_vms()
             region = self._vms.own.region
             fetches = [self._calls.fetch(vm, region) for vm in disks]
-            for found in await asyncio.gather(*fetches):
-                await self._on_push(found)
+            for reply in asyncio.as_completed(fetches):
+                # A disk VM that is gone must not hold up the others.
+                await self._on_push(await reply)
             await asyncio.sleep(_FETCH_PAUSE_S)
 
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
@@ -8,6 +8,7 @@
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
 from baobabwharf_decisions.proxying.repeats import Ended
 
+from baobabwharf_daemon.metrics import ATTEMPTS
 from baobabwharf_daemon.proxy.attempt import (
     RETRY_HEADER,
     Attempt,
@@ -141,7 +142,8 @@
         if load is not None and ended is not Ended.NOT_EXECUTED:
             load.note_outcome(failed)
         if ended is not None:
-            self._exclude(place)
+            self._exclude(place, attempt)
+            ATTEMPTS.inc({'ended': ended.value})
             self._log(
                 'attempt_ended',
                 ended=ended.value,
@@ -154,11 +156,14 @@
             load.rest(now_ms)
             self._tools.pool.drop(place.address)
 
-    def _exclude(self, place: Place) -> None:
-        if place.record is None:
-            regions = self._avoided.regions | {place.region}
-            self._avoided = Avoided(self._avoided.endpoints, regions)
-            self._tools.placer.regions.note_refusal(self._plan, place.region)
+    def _exclude(self, place: Place, attempt: Attempt) -> None:
+        regions = self._tools.placer.regions
+        if place.vm_id is not None and attempt.sent_ms is None:
+            regions.note_unreachable(place.vm_id)
+        elif place.record is None:
+            refused = self._avoided.regions | {place.region}
+            self._avoided = Avoided(self._avoided.endpoints, refused)
+            regions.note_refusal(self._plan, place.region)
         else:
             endpoints = self._avoided.endpoints | {place.record.endpoint_id}
             self._avoided = Avoided(endpoints, self._avoided.regions)
@@ -166,6 +171,7 @@
     async def _take_reply(
         self, attempt: Attempt, opened: Opened
     ) -> Ended | None:
+        self._plan.first_ms = self._tools.clock.now_ms()
         self._note_load(attempt, opened)
         if opened.kind is ReplyKind.RESULT:
             return await self._take_result(attempt, opened)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -24,7 +24,12 @@
 from expression import Error, Ok, Result
 
 from baobabwharf_daemon.interfaces import LimitClient
-from baobabwharf_daemon.metrics import REFUSALS, REQUESTS
+from baobabwharf_daemon.metrics import (
+    FIRST_BLOCK,
+    LATENCY,
+    REFUSALS,
+    REQUESTS,
+)
 from baobabwharf_daemon.proxy.attempt import (
     FORWARD_HEADER,
     MAY_HAVE_RUN,
@@ -40,6 +45,7 @@
 
 # Waiting for lent tokens takes a round trip between regions at most.
 _RESERVE_WAIT_MS = 250
+_MS_PER_S = 1000
 
 TableSource = Callable[[], RouteTable | None]
 Planned = Result['Prepared', Refusal]
@@ -219,15 +225,31 @@
     ) -> None:
         outcome = 'answered' if refusal is None else refusal.code.value
         REQUESTS.inc({'kind': plan.facts.route, 'outcome': outcome})
+        took_ms = self._tools.clock.now_ms() - started_ms
+        LATENCY.observe({'route': plan.facts.route}, took_ms / _MS_PER_S)
+        first_ms = None
+        if plan.first_ms is not None:
+            first_ms = plan.first_ms - started_ms
+            FIRST_BLOCK.observe(
+                {'route': plan.facts.route}, first_ms / _MS_PER_S
+            )
         self._tools.log.record(
             'request_ended',
             request=facts.request_id,
             route=plan.facts.route,
             service=plan.facts.service,
+            customer=plan.customer_id,
             outcome=outcome,
-            took_ms=self._tools.clock.now_ms() - started_ms,
+            took_ms=took_ms,
+            first_ms=first_ms,
+            sends=plan.sends.sent + plan.sends.unsent + (refusal is None),
+            config_version=self._version(),
         )
 
+    def _version(self) -> int | None:
+        table = self._table()
+        return None if table is None else table.deployment.version
+
 
 def _forwarded(call: Call) -> ForwardFacts | None:
     stated = call.request.header(FORWARD_HEADER.lower())
--- a/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
@@ -23,6 +23,8 @@
 # A VM that spends nothing tells that it is still there.
 _REPEAT_PERIODS = 2
 
+_MS_PER_S = 1000
+
 ConfigGetter = Callable[[], FleetConfig]
 
 
@@ -87,7 +89,10 @@
         if not self._unchanged % _REPEAT_PERIODS:
             self._told = spending.tokens
             self.send(encode(spending), hosts)
-        return max(_PERIOD_S, _PERIOD_PER_VM_S * len(hosts))
+        period_s = max(_PERIOD_S, _PERIOD_PER_VM_S * len(hosts))
+        # An unchanged spending is told only every few periods.
+        self._meter.tell_every(int(period_s * _REPEAT_PERIODS * _MS_PER_S))
+        return period_s
 
     def _follow(self) -> None:
         config = self._config()
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/metrics_listener.py
@@ -0,0 +1,18 @@
+"""Serve the metrics of this VM on a listener of their own."""
+
+from sanic import HTTPResponse, Request
+
+from baobabwharf_daemon.gateway.http_server import HttpServer, new_app
+from baobabwharf_daemon.metrics import render_metrics
+
+
+def metrics_server(host: str, port: int) -> HttpServer:
+    """Return a listener that answers GET /metrics."""
+    app = new_app('metrics')
+    app.add_route(_metrics, '/metrics', methods=('GET',))
+    return HttpServer(app, host, port, None)
+
+
+async def _metrics(request: Request) -> HTTPResponse:
+    content, headers = render_metrics(request.headers.get('accept', ''))
+    return HTTPResponse(content, headers=headers)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -94,6 +94,10 @@
             self._clock.now_ms(),
         )
 
+    def note_unreachable(self, vm_id: VmId) -> None:
+        """Let a VM rest that could not be reached."""
+        self._rests.note_unreachable(vm_id, self._clock.now_ms())
+
     def away(self, plan: Plan, refused: frozenset[RegionId]) -> Place | None:
         """Return a VM of another region that may serve a request."""
         vms: dict[RegionId, list[VmId]] = {}
--- a/packages/daemon/src/baobabwharf_daemon/proxy/plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/plan.py
@@ -2,7 +2,7 @@
 
 import msgspec
 from baobabwharf_core.deployment import DeployedCustomer
-from baobabwharf_core.ids import RegionId, ServiceId
+from baobabwharf_core.ids import CustomerId, RegionId, ServiceId
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
 from baobabwharf_decisions.proxying.repeats import Sends
 
@@ -38,6 +38,14 @@
     target_ms: int
     sends: Sends
     forwarded: bool = False
+    # When the first byte of an answer came.
+    first_ms: int | None = None
+
+    @property
+    def customer_id(self) -> CustomerId | None:
+        """Return who is charged, None on routes open to all."""
+        customer = self.facts.customer
+        return None if customer is None else customer.customer_id
 
     @property
     def allowed(self) -> frozenset[RegionId] | None:
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/signals.py
@@ -0,0 +1,15 @@
+"""React to the signals of the process."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from baobabwharf_daemon.proxy.app import ProxyDaemon
+
+
+def handle_signals(daemon: ProxyDaemon, reload: Callable[[], None]) -> None:
+    """Stop on SIGTERM and SIGINT, read the settings again on SIGHUP."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -33,6 +33,8 @@
     forward_port: int = pydantic.Field(ge=1, le=_MAX_PORT)
     # UDP; VMs of a region tell each other there what they have running.
     load_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
+    # HTTP; serves the metrics, besides the caller listener.
+    metrics_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
     # UDP; entry VMs tell each other there what customers have spent.
     meter_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
 
--- a/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
@@ -20,6 +20,8 @@
 # Several periods of telling; until then both sides of a cut spend the whole
 # rate, which the slack has to bear.
 SILENT_MS = 800
+# A VM is taken for silent after so many periods of telling.
+SILENT_PERIODS = 3
 # Nobody knows what was spent before a start of all VMs.
 _START_SHARE = 0.5
 _MS_PER_S = 1000
@@ -66,6 +68,7 @@
         self._buckets: dict[CustomerId, _Bucket] = {}
         self._spent: dict[CustomerId, int] = {}
         self._sequence = 0
+        self._silent_ms = SILENT_MS
         self._heard: dict[VmId, _Heard] = {}
 
     def configure(
@@ -78,6 +81,10 @@
             if customer_id not in customers:
                 self._buckets.pop(customer_id)
 
+    def tell_every(self, period_ms: int) -> None:
+        """Learn how often VMs tell; more VMs tell less often."""
+        self._silent_ms = max(SILENT_MS, SILENT_PERIODS * period_ms)
+
     def hear(self, told: Spending, now_ms: int) -> None:
         """Take what another VM has spent since it told last."""
         known = self._heard.get(told.vm_id)
@@ -142,7 +149,7 @@
         heard = [
             vm_id
             for vm_id, heard in self._heard.items()
-            if vm_id in self._vms and now_ms - heard.at_ms <= SILENT_MS
+            if vm_id in self._vms and now_ms - heard.at_ms <= self._silent_ms
         ]
         return (len(heard) + 1) / len(self._vms)
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
@@ -2,7 +2,9 @@
 
 Load pattern: peaks of regions are offset, so a full region has neighbours
 with room.  A region that refused rests for a moment, so that a peak does not
-turn into a storm of forwarded requests that are refused there.
+turn into a storm of forwarded requests that are refused there.  A request
+that no other region may serve is sent all the same.  A VM that could not be
+reached rests for itself: its region may be fine.
 """
 
 import hashlib
@@ -16,16 +18,22 @@
 
 # About four round trips between regions: room there changes no faster.
 REST_MS = 200
+# About the time in which the other VMs notice that a VM is gone.
+VM_REST_MS = 1000
 _DIGEST_BYTES = 8
 _POINTS = (1 << (8 * _DIGEST_BYTES)) + 1
 
 
 class RegionOffer(msgspec.Struct, frozen=True):
-    """Name a VM that could pass a request to endpoints of its region."""
+    """Name a VM that could pass a request to endpoints of its region.
+
+    only tells that no other region may serve the request.
+    """
 
     region: RegionId
     vm_id: VmId
     slots: int
+    only: bool = False
 
 
 @final
@@ -35,6 +43,7 @@
     def __init__(self, generator: random.Random) -> None:
         self._random = generator
         self._until_ms: dict[tuple[RegionId, ServiceId, int], int] = {}
+        self._vms_until_ms: dict[VmId, int] = {}
 
     def note_refusal(
         self, region: RegionId, service: ServiceId, urgency: int, now_ms: int
@@ -42,6 +51,10 @@
         """Let a region rest for requests of this urgency."""
         self._until_ms[region, service, urgency] = now_ms + REST_MS
 
+    def note_unreachable(self, vm_id: VmId, now_ms: int) -> None:
+        """Let a VM rest that could not be reached."""
+        self._vms_until_ms[vm_id] = now_ms + VM_REST_MS
+
     def choose(
         self,
         offers: Iterable[RegionOffer],
@@ -50,10 +63,16 @@
         now_ms: int,
     ) -> RegionOffer | None:
         """Return a VM of a region that does not rest, by its slots."""
-        awake = [
+        reachable = [
             offer
             for offer in offers
-            if self._until_ms.get((offer.region, service, urgency), 0) <= now_ms
+            if self._vms_until_ms.get(offer.vm_id, 0) <= now_ms
+        ]
+        awake = [
+            offer
+            for offer in reachable
+            if offer.only
+            or self._until_ms.get((offer.region, service, urgency), 0) <= now_ms
         ]
         weights = [offer.slots for offer in awake]
         if not awake or sum(weights) <= 0:
@@ -91,8 +110,9 @@
     excluded: frozenset[RegionId],
 ) -> list[RegionOffer]:
     """Return one offer for each VM of the regions that may serve."""
+    only = allowed is not None and len(allowed) == 1
     return [
-        RegionOffer(region, vm_id, count)
+        RegionOffer(region, vm_id, count, only)
         for (region, name), count in slots.items()
         if name == service
         and region != own
