Tell stopping VMs what was spent; say how answers were cut; trace requests

Cause 2: a stream that was cut ended as 'answered' in the log. New: 'baobabwharf trace' follows a request through log files; refusals and placements log their inputs and ages; the worst load is replayed on the emulator. The modules of the product's own announcements have names that say so.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -73,6 +73,7 @@
     Given an entry VM with endpoints that do: cut-stream
     When a caller sends POST /stream/x with body "hello"
     Then the caller gets a part of the events and no end
+    And the log says that request id-1 ended as stream_broken
 
   Scenario: The work of a caller that leaves is cancelled
     Given an entry VM with endpoints that do: silent
--- a/features/steps/admission_runs.py
+++ b/features/steps/admission_runs.py
@@ -3,7 +3,7 @@
 import random
 from unittest import mock
 
-from baobabwharf_core.platform import Announcement, Heartbeat, LoadReport
+from baobabwharf_core.announcements import Announcement, Heartbeat, LoadReport
 from baobabwharf_core.refusals import Executed, RefusalCode
 from baobabwharf_core.requests import RequestFacts
 from baobabwharf_decisions.admission import (
--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from aiohttp import web
+from baobabwharf_core.announcements import LeaseAnswer
 from baobabwharf_core.changes import ChangeCode, ChangeOutcome
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.ids import EndpointId
@@ -20,7 +21,6 @@
     VmRecord,
     route_key,
 )
-from baobabwharf_core.platform import LeaseAnswer
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import (
     EndpointChoice,
--- a/features/steps/gateway_operators.py
+++ b/features/steps/gateway_operators.py
@@ -3,9 +3,9 @@
 import json
 
 import msgspec
+from baobabwharf_core.announcements import Announcement, Heartbeat, LoadReport
 from baobabwharf_core.changes import ChangeCode
 from baobabwharf_core.model import VmRecord
-from baobabwharf_core.platform import Announcement, Heartbeat, LoadReport
 from behave import then
 from gateway_fakes import ENDPOINT_KEY, KEY, SERVICE, TOKEN, digest
 
--- /dev/null
+++ b/features/steps/metering_exchange.py
@@ -0,0 +1,81 @@
+"""Exchange datagrams with one metering VM on loopback."""
+
+import asyncio
+import socket
+
+from baobabwharf_core.clock import SystemClock
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.model import Customer, FleetConfig, VmRecord
+from baobabwharf_daemon.interfaces import MembershipView
+from baobabwharf_daemon.proxy.metering import Metering
+from baobabwharf_decisions.limits.shared_meter import Spending
+from behave import given, then, when
+from behave.runner import Context
+
+_PORT_HOST = '127.0.0.1'
+_OTHER_HOST = '127.0.0.2'
+
+
+def vm(name: str, host: str) -> VmRecord:
+    return VmRecord(name, 'r', 'z', False, f'{host}:1', f'{host}:2', 'url', 1)
+
+
+class Alone(MembershipView):
+    """Know no other VM."""
+
+    def live_vms(self) -> tuple[VmRecord, ...]:
+        return ()
+
+    def announce_leaving(self) -> None:
+        """Tell nobody."""
+
+
+class MeteringVmSubject:
+    """Run a metering task and a socket that speaks for another VM."""
+
+    def __init__(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind((_PORT_HOST, 0))
+            self.port = probe.getsockname()[1]
+        self.own = vm('own', _PORT_HOST)
+        self.other = vm('other', _OTHER_HOST)
+        self.config = FleetConfig(
+            1,
+            {'c': Customer('c', 1000, 1000)},
+            vms={'own': self.own, 'other': self.other},
+        )
+
+    async def exchange(self, tokens: int) -> Spending:
+        metering = Metering(
+            self.own, self.port, SystemClock(), Alone(), lambda: self.config
+        )
+        await metering.start()
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as speaker:
+            speaker.bind((_OTHER_HOST, self.port))
+            speaker.setblocking(False)
+            told = Spending('other', 1, 1, {'c': tokens})
+            speaker.sendto(encode(told), (_PORT_HOST, self.port))
+            try:
+                content = await asyncio.wait_for(
+                    loop.sock_recv(speaker, 4096), 1
+                )
+            finally:
+                await metering.stop()
+        return decode(content, Spending)
+
+
+@given('a metering VM that knows no other VM')
+def metering_vm(context: Context) -> None:
+    context.metering_vm = MeteringVmSubject()
+
+
+@when('a stopping VM tells it that it has spent {tokens:d} tokens')
+def tells(context: Context, tokens: int) -> None:
+    context.tokens = tokens
+
+
+@then('the stopping VM is told within 1 s')
+def is_told(context: Context) -> None:
+    exchange = context.metering_vm.exchange(context.tokens)
+    assert asyncio.run(exchange).vm_id == 'own'
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import logging
 import random
 import socket
 import struct
@@ -221,6 +222,14 @@
             )
             self.book.take(record, 0)
         clock = SystemClock()
+        self.lines: list[dict] = []
+        handler = logging.Handler()
+        handler.emit = lambda record: self.lines.append(
+            {'event': record.event, **record.fields}
+        )
+        logger = logging.getLogger('baobabwharf.decisions')
+        logger.handlers = [handler]
+        logger.setLevel(logging.INFO)
         placer = Placer(_OWN, clock, self.book, OneVm(), random.Random(1))
         self.tools = Tools(
             clock, PlatformDialect(), placer, self, DecisionLog(clock)
@@ -367,6 +376,16 @@
     assert b'0\r\n\r\n' not in answer, answer
 
 
+@then('the log says that request {request_id} ended as {outcome}')
+def logged_end(context: Context, request_id: str, outcome: str) -> None:
+    ended = [
+        line['outcome']
+        for line in context.proxy.lines
+        if line['event'] == 'request_ended' and line['request'] == request_id
+    ]
+    assert ended == [outcome], context.proxy.lines
+
+
 @when('a caller leaves {after_ms:d} ms after it sent {method} {target}')
 def leaves(context: Context, after_ms: int, method: str, target: str) -> None:
     proxy = context.proxy
--- a/features/steps/region_view.py
+++ b/features/steps/region_view.py
@@ -2,6 +2,7 @@
 
 import random
 
+from baobabwharf_core.announcements import Announcement, Heartbeat, LoadReport
 from baobabwharf_core.ids import (
     CustomerId,
     EndpointId,
@@ -12,7 +13,6 @@
     WorkClass,
     ZoneId,
 )
-from baobabwharf_core.platform import Announcement, Heartbeat, LoadReport
 from baobabwharf_core.requests import RequestFacts
 from baobabwharf_decisions.directory import Directory
 from baobabwharf_decisions.lanes import LaneSet
--- a/features/steps/registry_sync.py
+++ b/features/steps/registry_sync.py
@@ -7,9 +7,9 @@
 from itertools import count
 from pathlib import Path
 
+from baobabwharf_core.announcements import Announcement, Heartbeat, LoadReport
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.model import Customer, FleetConfig, VmRecord
-from baobabwharf_core.platform import Announcement, Heartbeat, LoadReport
 from baobabwharf_core.refusals import Executed, RefusalCode
 from baobabwharf_core.requests import AttemptOutcome, RequestFacts
 from baobabwharf_daemon.interfaces import ConfigSource, MembershipView
--- a/features/steps/routing_runs.py
+++ b/features/steps/routing_runs.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 import msgspec
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     Announcement,
     CacheEvent,
     CacheEventKind,
--- /dev/null
+++ b/features/steps/worst_load.py
@@ -0,0 +1,89 @@
+"""Replay peaks on emulated engines by the product's choice and a baseline."""
+
+from baobabwharf_testkit.engine_emulator import (
+    DRAFT,
+    QUESTION,
+    Emulation,
+    accept_all,
+    product_choice,
+)
+from behave import given, then
+from behave.runner import Context
+
+_LENGTH_MS = 15_000
+# What the users pay for a request on time and late.
+_WORTH = {'draft': (6.8, 2.0), 'question': (1.9, 0.57)}
+
+
+class PeakSubject:
+    """Hold the outcomes of both policies under the same load."""
+
+    def __init__(self, engines: int, factor: float, seed: int) -> None:
+        self.runs = {}
+        for name, choose in (
+            ('product', product_choice),
+            ('baseline', accept_all),
+        ):
+            emulation = Emulation(seed, engines, choose)
+            emulation.run([DRAFT, QUESTION], factor, _LENGTH_MS)
+            self.runs[name] = emulation
+
+    def outcome(self, run: str, kind: str):
+        return self.runs[run].outcomes[kind]
+
+    def worth(self, run: str) -> float:
+        earned = owed = 0.0
+        for kind, (on_time, late) in _WORTH.items():
+            found = self.outcome(run, kind)
+            earned += on_time * found.in_time + late * found.late
+            owed += on_time * found.asked
+        return earned / owed
+
+    def served(self, kind: str) -> float:
+        found = self.outcome('product', kind)
+        return (found.in_time + found.late) / found.asked
+
+
+@given(
+    '{engines:d} emulated engines and a peak of {factor:g} times the load, seed {seed:d}'
+)
+def peak(context: Context, engines: int, factor: float, seed: int) -> None:
+    context.peak = PeakSubject(engines, factor, seed)
+
+
+@then('the product earns at least {gain:d} in 100 more than accepting all')
+def earns_more(context: Context, gain: int) -> None:
+    product = context.peak.worth('product')
+    baseline = context.peak.worth('baseline')
+    assert product >= baseline + gain / 100, (product, baseline)
+
+
+@then(
+    'no accepted draft is cut by its deadline more often than {most:d} in 100'
+)
+def rarely_cut(context: Context, most: int) -> None:
+    found = context.peak.outcome('product', 'draft')
+    accepted = found.asked - found.refused
+    assert found.cut * 100 <= accepted * most, found
+
+
+@then('questions are served at least as often as drafts')
+def urgent_first(context: Context) -> None:
+    peak_subject = context.peak
+    assert peak_subject.served('question') >= peak_subject.served('draft')
+
+
+@then('at least {share:d} in 100 of each kind are served on time')
+def on_time(context: Context, share: int) -> None:
+    for kind in _WORTH:
+        found = context.peak.outcome('product', kind)
+        assert found.in_time * 100 >= found.asked * share, (kind, found)
+
+
+@then('the product reads fewer prompt tokens a draft than accepting all')
+def reads_less(context: Context) -> None:
+    product, baseline = (
+        context.peak.runs[name].tokens_read_a_draft
+        for name in ('product', 'baseline')
+    )
+    assert product < baseline, (product, baseline)
--- /dev/null
+++ b/features/unit/worst_load.feature
@@ -0,0 +1,24 @@
+Feature: Placement at the worst load
+  Guards against engines that read so many prompts that long answers miss
+  their deadline, against sessions that are read again at every engine, and
+  against less urgent work that takes the place of urgent work.
+
+  Scenario Outline: A region's peak of <factor> times the load
+    Given 3 emulated engines and a peak of <factor> times the load, seed <seed>
+    Then the product earns at least <gain> in 100 more than accepting all
+    And no accepted draft is cut by its deadline more often than 2 in 100
+    And questions are served at least as often as drafts
+
+    Examples:
+      | factor | seed | gain |
+      | 1.6    | 1    | 5    |
+      | 1.6    | 2    | 5    |
+      | 2.3    | 3    | 10   |
+
+  Scenario: A usual load is served whole
+    Given 3 emulated engines and a peak of 0.8 times the load, seed 4
+    Then at least 97 in 100 of each kind are served on time
+
+  Scenario: Sessions stay with the engine that has read them
+    Given 3 emulated engines and a peak of 1.2 times the load, seed 5
+    Then the product reads fewer prompt tokens a draft than accepting all
--- a/packages/cli/src/baobabwharf_cli/main.py
+++ b/packages/cli/src/baobabwharf_cli/main.py
@@ -28,6 +28,7 @@
 from baobabwharf_cli.routes import ListRoutesCommand, SetRouteCommand
 from baobabwharf_cli.targets import ListTargetsCommand, SetTargetCommand
 from baobabwharf_cli.tls import TlsCommand
+from baobabwharf_cli.trace import TraceCommand
 from baobabwharf_cli.vms import RemoveVmCommand
 
 COMMANDS = (
@@ -52,6 +53,7 @@
     EventsCommand,
     ExplainCommand,
     RemoveVmCommand,
+    TraceCommand,
     TlsCommand,
 )
 
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/attempts.py
@@ -5,8 +5,8 @@
 
 import aiohttp
 import msgspec
+from baobabwharf_core.announcements import EXECUTED_HEADER, REQUEST_ID_HEADER
 from baobabwharf_core.clock import Clock
-from baobabwharf_core.platform import EXECUTED_HEADER, REQUEST_ID_HEADER
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_core.requests import AttemptOutcome
 
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/endpoint_client.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 import msgspec
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     CANCEL_PATH,
     DEADLINE_HEADER,
     PRIORITY_HEADER,
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forwarder.py
@@ -6,9 +6,9 @@
 
 import aiohttp
 import msgspec
+from baobabwharf_core.announcements import REQUEST_ID_HEADER
 from baobabwharf_core.ids import RegionId, VmId
 from baobabwharf_core.invariants import check_invariant
-from baobabwharf_core.platform import REQUEST_ID_HEADER
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_core.requests import RegionChoice
 from expression import Error, Ok, Result
--- a/packages/daemon/src/baobabwharf_daemon/gateway/platform_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/announcement_routes.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 import msgspec
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     ANNOUNCE_PATH,
     HEARTBEAT_PATH,
     Announcement,
--- a/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_parts.py
@@ -11,6 +11,7 @@
 from baobabwharf_daemon.forwarding.listener import ForwardRoutes
 from baobabwharf_daemon.forwarding.serving import Serving
 from baobabwharf_daemon.forwarding.wire import MAX_HEAD_BYTES
+from baobabwharf_daemon.gateway.announcement_routes import PlatformRoutes
 from baobabwharf_daemon.gateway.assembly import (
     Gateway,
     Listener,
@@ -29,7 +30,6 @@
     new_app,
 )
 from baobabwharf_daemon.gateway.pipeline import Pipeline
-from baobabwharf_daemon.gateway.platform_routes import PlatformRoutes
 from baobabwharf_daemon.gateway.records import RequestRecords
 from baobabwharf_daemon.gateway.running import RunningRequests
 from baobabwharf_daemon.interfaces import (
--- a/packages/daemon/src/baobabwharf_daemon/interfaces.py
+++ b/packages/daemon/src/baobabwharf_daemon/interfaces.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import msgspec
+from baobabwharf_core.announcements import Announcement, Heartbeat, LeaseAnswer
 from baobabwharf_core.changes import ChangeOutcome, ChangeRequest
 from baobabwharf_core.ids import (
     CustomerId,
@@ -25,7 +26,6 @@
     ZoneId,
 )
 from baobabwharf_core.model import FleetConfig, VmRecord
-from baobabwharf_core.platform import Announcement, Heartbeat, LeaseAnswer
 from baobabwharf_core.refusals import Refusal
 from baobabwharf_core.requests import (
     AttemptOutcome,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/datagrams.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/datagrams.py
@@ -49,7 +49,7 @@
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Take what another VM tells."""
         try:
-            self.take(data)
+            self.take(data, addr[0])
         except msgspec.DecodeError as fault:
             _log.warning('An unreadable datagram of %s: %s', addr, fault)
 
@@ -59,7 +59,7 @@
             self._transport.sendto(content, (host, self._port))
 
     @abc.abstractmethod
-    def take(self, content: bytes) -> None:
+    def take(self, content: bytes, host: str) -> None:
         """Take a datagram; raise msgspec.DecodeError if it is unreadable."""
 
     @abc.abstractmethod
--- a/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
@@ -63,6 +63,7 @@
     def _timed_out(self) -> Refusal | None:
         self._log('deadline_reached', started=self._call.started)
         if self._call.started:
+            self._plan.cut = 'deadline_reached'
             self._call.abort()
             return None
         if self._plan.sends.may_have_run:
@@ -99,6 +100,7 @@
 
     async def _attempt(self, place: Place) -> Ended | None:
         load = self._load_of(place)
+        self._log_place(place, load)
         if place.record is not None:
             self._tools.placer.note_sent(place.record)
         attempt = Attempt(
@@ -123,6 +125,19 @@
         self._learn(place, load, ended, attempt)
         return ended
 
+    def _log_place(self, place: Place, load: EndpointLoad | None) -> None:
+        now_ms = self._tools.clock.now_ms()
+        self._log(
+            'placed',
+            region=place.region,
+            address=place.address,
+            forwarded=self._plan.forwarded,
+            unread_tokens=None if load is None else load.total_unread,
+            running=None if load is None else load.total_running,
+            told_age_ms=None if load is None else load.told_age_ms(now_ms),
+            left_ms=self._plan.deadline_ms - now_ms,
+        )
+
     def _load_of(self, place: Place) -> EndpointLoad | None:
         if place.record is None:
             return None
@@ -172,7 +187,9 @@
         self, attempt: Attempt, opened: Opened
     ) -> Ended | None:
         self._plan.first_ms = self._tools.clock.now_ms()
-        self._note_load(attempt, opened)
+        load = self._load_of(attempt.place)
+        if load is not None and opened.facts.load is not None:
+            load.note_sample(opened.facts.load, self._tools.clock.now_ms())
         if opened.kind is ReplyKind.RESULT:
             return await self._take_result(attempt, opened)
         if opened.kind is ReplyKind.FAILURE:
@@ -189,11 +206,6 @@
             attempt.whole()
         return _BY_KIND[opened.kind]
 
-    def _note_load(self, attempt: Attempt, opened: Opened) -> None:
-        load = self._load_of(attempt.place)
-        if load is not None and opened.facts.load is not None:
-            load.note_sample(opened.facts.load, self._tools.clock.now_ms())
-
     async def _take_result(
         self, attempt: Attempt, opened: Opened
     ) -> Ended | None:
@@ -258,6 +270,7 @@
             attempt.prompt_read()
             if isinstance(block, Lost):
                 self._log('stream_broken', reason=block.value)
+                self._plan.cut = 'stream_broken'
                 self._call.abort()
                 return
             if not block:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -147,7 +147,7 @@
         refusal = reserved.error
         if refusal.code is RefusalCode.REQUEST_ABOVE_BURST:
             # Too large for any refill; the request is proper all the same.
-            refusal = Refusal(RefusalCode.RATE_EXCEEDED)
+            refusal = Refusal(RefusalCode.RATE_EXCEEDED, detail=refusal.detail)
         return Error(refusal)
 
     def _prepare(self, facts: CallFacts) -> Planned:
@@ -208,6 +208,8 @@
             reason=refusal.code.value,
             executed=refusal.executed.value,
             retry_after_ms=refusal.retry_after_ms,
+            inputs=refusal.detail,
+            config_version=self._version(),
         )
         if call.started:
             call.abort()
@@ -223,7 +225,9 @@
         refusal: Refusal | None,
         started_ms: int,
     ) -> None:
-        outcome = 'answered' if refusal is None else refusal.code.value
+        outcome = plan.cut or 'answered'
+        if refusal is not None:
+            outcome = refusal.code.value
         REQUESTS.inc({'kind': plan.facts.route, 'outcome': outcome})
         took_ms = self._tools.clock.now_ms() - started_ms
         LATENCY.observe({'route': plan.facts.route}, took_ms / _MS_PER_S)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_exchange.py
@@ -52,7 +52,7 @@
         self._told: dict[EndpointId, LoadShare] = {}
         self._unchanged = 0
 
-    def take(self, content: bytes) -> None:
+    def take(self, content: bytes, host: str) -> None:
         """Take the report of another VM."""
         report = decode(content, LoadReport)
         if self._newest.get(report.vm_id, -1) < report.sequence:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
@@ -22,6 +22,8 @@
 _PERIOD_PER_VM_S = 0.02
 # A VM that spends nothing tells that it is still there.
 _REPEAT_PERIODS = 2
+# A VM that was heard so recently is told even if it has left the fleet.
+_STOPPING_MS = 2000
 
 _MS_PER_S = 1000
 
@@ -50,6 +52,7 @@
         self._numbers = 0
         self._told: dict[CustomerId, int] = {}
         self._unchanged = 0
+        self._heard_ms: dict[str, int] = {}
 
     async def reserve(
         self, customer_id: CustomerId, tokens: int, wait_ms: int
@@ -59,7 +62,13 @@
         taken = self._meter.take(customer_id, tokens, self._clock.now_ms())
         if taken.is_error():
             return Error(
-                Refusal(RefusalCode.RATE_EXCEEDED, retry_after_ms=taken.error)
+                Refusal(
+                    RefusalCode.RATE_EXCEEDED,
+                    retry_after_ms=taken.error,
+                    detail=self._meter.describe(
+                        customer_id, self._clock.now_ms()
+                    ),
+                )
             )
         self._numbers += 1
         return Ok(Reservation(self._numbers, customer_id, tokens))
@@ -70,30 +79,43 @@
         if unused > 0:
             self._meter.give_back(reservation.customer_id, unused)
 
-    def take(self, content: bytes) -> None:
+    def take(self, content: bytes, host: str) -> None:
         """Take what another VM has spent."""
         self._follow()
-        self._meter.hear(decode(content, Spending), self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._meter.hear(decode(content, Spending), now_ms)
+        self._heard_ms[host] = now_ms
 
     def tell(self) -> float:
         """Send what this VM has spent."""
         self._follow()
-        hosts = [
-            host_of(vm)
-            for vm in self._members.live_vms()
-            if not vm.has_disk and vm.vm_id != self._own.vm_id
-        ]
+        hosts = self._hosts()
         spending = self._meter.report()
         same = spending.tokens == self._told
         self._unchanged = self._unchanged + 1 if same else 0
         if not self._unchanged % _REPEAT_PERIODS:
             self._told = spending.tokens
-            self.send(encode(spending), hosts)
+            self.send(encode(spending), sorted(hosts))
         period_s = max(_PERIOD_S, _PERIOD_PER_VM_S * len(hosts))
         # An unchanged spending is told only every few periods.
         self._meter.tell_every(int(period_s * _REPEAT_PERIODS * _MS_PER_S))
         return period_s
 
+    def _hosts(self) -> set[str]:
+        """Return whom to tell: also a VM that stops still serves callers."""
+        after_ms = self._clock.now_ms() - _STOPPING_MS
+        self._heard_ms = {
+            host: at_ms
+            for host, at_ms in self._heard_ms.items()
+            if at_ms > after_ms
+        }
+        live = {
+            host_of(vm)
+            for vm in self._members.live_vms()
+            if not vm.has_disk and vm.vm_id != self._own.vm_id
+        }
+        return live | set(self._heard_ms)
+
     def _follow(self) -> None:
         config = self._config()
         if config.revision == self._revision:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -17,6 +17,8 @@
     EndpointRecord,
 )
 from baobabwharf_decisions.proxying.prompt_backlog import (
+    LESS_URGENT_SHARE,
+    URGENT_SHARE,
     Backlog,
     Candidate,
     PromptNeed,
@@ -33,10 +35,6 @@
 from baobabwharf_daemon.proxy.load_book import LoadBook
 from baobabwharf_daemon.proxy.plan import Plan
 
-# Part of the time to the target, and of an engine's reading time, that a
-# request may fill; a less urgent one leaves the rest to more urgent ones.
-URGENT_SHARE = 1.0
-LESS_URGENT_SHARE = 0.9
 # Reading so many shared tokens again takes longer than a round trip between
 # regions costs.
 SESSION_TOKENS = 3000
@@ -194,7 +192,7 @@
             away = self.regions.away(plan, avoided.regions)
             if away is not None:
                 return Ok(away)
-        return Error(_refusal(candidates))
+        return Error(_refusal(plan, candidates, self._clock.now_ms()))
 
     def note_sent(self, record: EndpointRecord) -> None:
         """Count a request that leaves for an endpoint now."""
@@ -284,9 +282,23 @@
         return self._backlog.choose(candidates, need)
 
 
-def _refusal(candidates: list[Candidate]) -> Refusal:
+def _refusal(plan: Plan, candidates: list[Candidate], now_ms: int) -> Refusal:
     if candidates:
-        return Refusal(RefusalCode.QUEUE_FULL, retry_after_ms=_RETRY_AFTER_MS)
+        unread = min(one.load.total_unread for one in candidates)
+        recent = min(one.load.recent_tokens(now_ms) for one in candidates)
+        running = min(one.load.total_running for one in candidates)
+        return Refusal(
+            RefusalCode.QUEUE_FULL,
+            retry_after_ms=_RETRY_AFTER_MS,
+            detail=(
+                f'{len(candidates)} endpoints; at least {unread} unread and '
+                f'{recent:.0f} recent tokens, {running} running; '
+                f'{plan.target_ms - now_ms} ms to the target'
+            ),
+        )
+    homes = 'any' if plan.allowed is None else sorted(plan.allowed)
     return Refusal(
-        RefusalCode.NO_ENDPOINT, retry_after_ms=_NO_ENDPOINT_RETRY_MS
+        RefusalCode.NO_ENDPOINT,
+        retry_after_ms=_NO_ENDPOINT_RETRY_MS,
+        detail=f'no usable endpoint here or in reach; regions allowed: {homes}',
     )
--- a/packages/daemon/src/baobabwharf_daemon/proxy/plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/plan.py
@@ -38,6 +38,8 @@
     target_ms: int
     sends: Sends
     forwarded: bool = False
+    # Why an answer that had begun was cut.
+    cut: str | None = None
     # When the first byte of an answer came.
     first_ms: int | None = None
 
--- a/packages/daemon/src/baobabwharf_daemon/registry.py
+++ b/packages/daemon/src/baobabwharf_daemon/registry.py
@@ -4,10 +4,10 @@
 from typing import Any, final
 
 import msgspec
+from baobabwharf_core.announcements import Announcement, Heartbeat, LeaseAnswer
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.ids import EndpointId, VmId
 from baobabwharf_core.model import VmRecord
-from baobabwharf_core.platform import Announcement, Heartbeat, LeaseAnswer
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_decisions.directory import Directory
 from baobabwharf_decisions.endpoints import (
--- a/packages/decisions/src/baobabwharf_decisions/directory.py
+++ b/packages/decisions/src/baobabwharf_decisions/directory.py
@@ -3,8 +3,8 @@
 import random
 
 import msgspec
+from baobabwharf_core.announcements import Announcement, Heartbeat
 from baobabwharf_core.ids import EndpointId, ModelId, ServiceId
-from baobabwharf_core.platform import Announcement, Heartbeat
 from baobabwharf_core.requests import AttemptOutcome
 
 from baobabwharf_decisions.endpoints import (
--- a/packages/decisions/src/baobabwharf_decisions/endpoints.py
+++ b/packages/decisions/src/baobabwharf_decisions/endpoints.py
@@ -4,8 +4,8 @@
 from collections import deque
 
 import msgspec
+from baobabwharf_core.announcements import Announcement, LoadReport
 from baobabwharf_core.ids import EndpointId
-from baobabwharf_core.platform import Announcement, LoadReport
 from baobabwharf_core.requests import AttemptOutcome, RequestFacts
 from baobabwharf_core.statechart import load_chart
 
--- a/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
@@ -125,6 +125,16 @@
             bucket.level += tokens
             self._spent[customer_id] -= tokens
 
+    def describe(self, customer_id: CustomerId, now_ms: int) -> str:
+        """Return what a decision about a customer rests on."""
+        bucket = self._bucket(customer_id, now_ms)
+        ages = [now_ms - heard.at_ms for heard in self._heard.values()]
+        return (
+            f'{bucket.level:.0f} tokens left of the group; share '
+            f'{self._share(now_ms):.2f} of the cap; oldest word of another '
+            f'VM {max(ages, default=0)} ms ago'
+        )
+
     def report(self) -> Spending:
         """Return what this VM has spent."""
         self._sequence += 1
--- a/packages/decisions/src/baobabwharf_decisions/prefixes.py
+++ b/packages/decisions/src/baobabwharf_decisions/prefixes.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable, Sequence
 
+from baobabwharf_core.announcements import CacheEvent, CacheEventKind
 from baobabwharf_core.ids import EndpointId
-from baobabwharf_core.platform import CacheEvent, CacheEventKind
 
 # Trust in a block after each gap that followed its last event.
 _GAP_TRUST = 0.5
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -99,6 +99,11 @@
         known.reading.put(share.recent_tokens, now_ms)
         known.heard_ms = now_ms
 
+    def told_age_ms(self, now_ms: int) -> int | None:
+        """Return how old the oldest share of another VM is."""
+        heard = [other.heard_ms for other in self.others.values()]
+        return now_ms - min(heard) if heard else None
+
     def forget_silent(self, silent_ms: int, now_ms: int) -> None:
         """Drop the shares of VMs that told nothing for too long."""
         self.others = {
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -31,6 +31,10 @@
 # Part of an engine's time that may go into reading prompts: a long answer of
 # some 400 tokens then still ends within 12 s, as the emulator shows.
 MAX_READING_SHARE = 0.82
+# Part of the time to the target, and of an engine's reading time, that a
+# request may fill; a less urgent one leaves the rest to more urgent ones.
+URGENT_SHARE = 1.0
+LESS_URGENT_SHARE = 0.9
 # A session moves when its engine is behind by more than that.
 MOVE_TOKENS = 20_000
 _DIGEST_BYTES = 8
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_announce.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_announce.py
@@ -8,15 +8,7 @@
 
 import aiohttp
 import msgspec
-from baobabwharf_core.ids import (
-    EndpointId,
-    Incarnation,
-    ModelId,
-    RegionId,
-    ServiceId,
-    ZoneId,
-)
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     ANNOUNCE_PATH,
     HEARTBEAT_PATH,
     Announcement,
@@ -25,6 +17,14 @@
     Heartbeat,
     LeaseAnswer,
 )
+from baobabwharf_core.ids import (
+    EndpointId,
+    Incarnation,
+    ModelId,
+    RegionId,
+    ServiceId,
+    ZoneId,
+)
 
 from baobabwharf_testkit.endpoint_engine import Engine, LoadHistory
 from baobabwharf_testkit.endpoint_model import (
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_control.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_control.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from aiohttp import web
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     CANCEL_PATH,
     KV_EXPORT_PATH,
     KV_IMPORT_PATH,
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_engine.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_engine.py
@@ -7,7 +7,11 @@
 from collections.abc import AsyncIterator, Callable
 
 import msgspec
-from baobabwharf_core.platform import CacheEvent, CacheEventKind, LoadReport
+from baobabwharf_core.announcements import (
+    CacheEvent,
+    CacheEventKind,
+    LoadReport,
+)
 from baobabwharf_core.prefix import BLOCK_CHARS, prefix_hashes
 
 from baobabwharf_testkit.answers import (
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_openai.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_openai.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from aiohttp import web
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     EXECUTED_HEADER,
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
--- a/packages/testkit/src/baobabwharf_testkit/endpoint_service.py
+++ b/packages/testkit/src/baobabwharf_testkit/endpoint_service.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from aiohttp import web
-from baobabwharf_core.platform import REQUEST_ID_HEADER
+from baobabwharf_core.announcements import REQUEST_ID_HEADER
 
 from baobabwharf_testkit.answers import body_digest, sheet_text
 from baobabwharf_testkit.endpoint_engine import Slots
--- a/packages/testkit/src/baobabwharf_testkit/engine_emulator.py
+++ b/packages/testkit/src/baobabwharf_testkit/engine_emulator.py
@@ -15,6 +15,8 @@
 from baobabwharf_core.ids import EndpointId
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
 from baobabwharf_decisions.proxying.prompt_backlog import (
+    LESS_URGENT_SHARE,
+    URGENT_SHARE,
     Backlog,
     Candidate,
     PromptNeed,
@@ -164,6 +166,17 @@
         }
         self.outcomes: dict[str, Outcome] = {}
 
+    @property
+    def tokens_read_a_draft(self) -> float:
+        """Return the mean of prompt tokens read for a draft."""
+        read = [
+            job.unread
+            for engine in self._engines.values()
+            for job, _ended_ms in engine.ended
+            if job.kind is DRAFT
+        ]
+        return sum(read) / max(1, len(read))
+
     def run(self, kinds: list[Kind], factor: float, length_ms: int) -> None:
         """Play a load of some times the usual one, then let it finish."""
         arrivals = sorted(
@@ -195,7 +208,7 @@
         need = PromptNeed(
             prompt,
             kind.target_ms,
-            1.0 if kind.urgency == 0 else 0.75,
+            URGENT_SHARE if kind.urgency == 0 else LESS_URGENT_SHARE,
             int(at_ms),
         )
         candidates = [
--- a/packages/testkit/src/baobabwharf_testkit/microbench.py
+++ b/packages/testkit/src/baobabwharf_testkit/microbench.py
@@ -7,6 +7,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from baobabwharf_core.announcements import (
+    Announcement,
+    CacheEvent,
+    CacheEventKind,
+    Heartbeat,
+    LoadReport,
+)
 from baobabwharf_core.ids import (
     CustomerId,
     EndpointId,
@@ -18,13 +25,6 @@
     WorkClass,
     ZoneId,
 )
-from baobabwharf_core.platform import (
-    Announcement,
-    CacheEvent,
-    CacheEventKind,
-    Heartbeat,
-    LoadReport,
-)
 from baobabwharf_core.requests import AttemptOutcome, RequestFacts
 from baobabwharf_decisions.admission import Admission, Capacity, Ticket
 from baobabwharf_decisions.choice import EndpointChooser
--- a/packages/testkit/src/baobabwharf_testkit/policies.py
+++ b/packages/testkit/src/baobabwharf_testkit/policies.py
@@ -3,8 +3,8 @@
 import random
 
 import msgspec
+from baobabwharf_core.announcements import Heartbeat
 from baobabwharf_core.ids import EndpointId, RegionId
-from baobabwharf_core.platform import Heartbeat
 from baobabwharf_core.requests import AttemptOutcome, RequestFacts
 from baobabwharf_decisions.admission import Ticket
 from baobabwharf_decisions.away import LinkMeter
--- a/packages/testkit/src/baobabwharf_testkit/policy_baselines.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_baselines.py
@@ -2,8 +2,8 @@
 
 import abc
 
+from baobabwharf_core.announcements import Heartbeat
 from baobabwharf_core.ids import EndpointId
-from baobabwharf_core.platform import Heartbeat
 from baobabwharf_decisions.endpoints import LEASE_MS
 
 from baobabwharf_testkit.policy_load import Request
--- a/packages/testkit/src/baobabwharf_testkit/policy_load.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_load.py
@@ -6,6 +6,7 @@
 from itertools import product
 
 import msgspec
+from baobabwharf_core.announcements import Announcement
 from baobabwharf_core.ids import (
     CustomerId,
     EndpointId,
@@ -18,7 +19,6 @@
     ZoneId,
 )
 from baobabwharf_core.model import Target
-from baobabwharf_core.platform import Announcement
 from baobabwharf_core.requests import RequestFacts
 
 DURATION_MS = 600_000
--- a/packages/testkit/src/baobabwharf_testkit/policy_model.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_model.py
@@ -7,14 +7,14 @@
 from typing import Any
 
 import msgspec
-from baobabwharf_core.ids import RegionId
-from baobabwharf_core.platform import (
+from baobabwharf_core.announcements import (
     Announcement,
     CacheEvent,
     CacheEventKind,
     Heartbeat,
     LoadReport,
 )
+from baobabwharf_core.ids import RegionId
 from baobabwharf_core.requests import RequestFacts
 
 REPORT_LAG_MS = 300
--- a/packages/testkit/src/baobabwharf_testkit/policy_world.py
+++ b/packages/testkit/src/baobabwharf_testkit/policy_world.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 import msgspec
+from baobabwharf_core.announcements import Heartbeat
 from baobabwharf_core.ids import EndpointId, RegionId
-from baobabwharf_core.platform import Heartbeat
 
 from baobabwharf_testkit.policy_load import Deployment, Request
 from baobabwharf_testkit.policy_model import (
