--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -75,6 +75,21 @@
     Then the caller gets a part of the events and no end
     And the log says that request id-1 ended as stream_broken
 
+  Scenario: A reply to HEAD has a length and no body
+    Given an entry VM with endpoints that do: head
+    When a caller sends HEAD /many/x twice on one connection
+    Then the caller gets two heads with length 9 and no body
+
+  Scenario: Pipelined requests are answered in order on one connection
+    Given an entry VM with endpoints that do: ok
+    When a caller sends two requests at once, the second to close
+    Then it gets two answers in order and then the end
+
+  Scenario: A large answer is passed on whole
+    Given an entry VM with endpoints that do: large
+    When a caller sends POST /once/x with body "hello"
+    Then the caller gets 600000 bytes with the signature
+
   Scenario: The work of a caller that leaves is cancelled
     Given an entry VM with endpoints that do: silent
     When a caller leaves 100 ms after it sent POST /once/x
--- /dev/null
+++ b/features/steps/decision_log.py
@@ -0,0 +1,100 @@
+"""Exercise the bounds of the decision log."""
+
+import json
+import logging
+import os
+import time
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_daemon.decision_log import (
+    DecisionLog,
+    JsonLines,
+    PipeHandler,
+)
+from behave import given, then, when
+from behave.runner import Context
+
+
+class FixedClock(Clock):
+    """Stand still until it is set."""
+
+    def __init__(self) -> None:
+        self.at_ms = 1000
+
+    def now_ms(self) -> int:
+        return self.at_ms
+
+    def wall_ms(self) -> int:
+        return self.at_ms
+
+
+class LogSubject:
+    """Hold a log that writes into a pipe."""
+
+    def __init__(self) -> None:
+        self.clock = FixedClock()
+        self.reader, self.writer = os.pipe()
+        self.handler = PipeHandler(self.writer)
+        self.handler.setFormatter(JsonLines('vm'))
+        logger = logging.getLogger('baobabwharf.decisions')
+        logger.handlers = [self.handler]
+        logger.setLevel(logging.INFO)
+        self.log = DecisionLog(self.clock)
+
+    def close(self) -> None:
+        logging.getLogger('baobabwharf.decisions').handlers = []
+        os.close(self.reader)
+        os.close(self.writer)
+
+    def lines(self) -> list[dict]:
+        content = os.read(self.reader, 1 << 20)
+        return [json.loads(line) for line in content.splitlines()]
+
+
+def log_subject(context: Context) -> LogSubject:
+    subject = LogSubject()
+    context.add_cleanup(subject.close)
+    return subject
+
+
+@given('a decision log whose reader stands still')
+@given('a decision log at 1000 ms')
+def decision_log(context: Context) -> None:
+    context.log = log_subject(context)
+
+
+@when('{count:d} long lines are written to it')
+def long_lines(context: Context, count: int) -> None:
+    context.longest_s = 0.0
+    record = logging.makeLogRecord(
+        {'event': 'e', 'fields': {'text': 'x' * 200}}
+    )
+    for _line in range(count):
+        begun = time.monotonic()
+        context.log.handler.emit(record)
+        context.longest_s = max(context.longest_s, time.monotonic() - begun)
+
+
+@then('none of the writes waits and the dropped lines are counted')
+def nothing_waits(context: Context) -> None:
+    # A blocking write would wait for ever; the bound only tells them apart.
+    assert context.longest_s < 5, context.longest_s
+    handler = context.log.handler
+    assert handler.dropped > 10_000, handler.dropped
+
+
+@when('{count:d} events are recorded, and one more at {later_ms:d} ms')
+def many_events(context: Context, count: int, later_ms: int) -> None:
+    for number in range(count):
+        context.log.log.record('e', number=number)
+    context.log.clock.at_ms = later_ms
+    context.log.log.record('e', number=count)
+
+
+@then(
+    '{written:d} lines are written and the last one says that {left:d} were left out'
+)
+def counted(context: Context, written: int, left: int) -> None:
+    lines = context.log.lines()
+    assert len(lines) == written, len(lines)
+    assert lines[-1]['suppressed_before'] == left, lines[-1]
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -140,6 +140,10 @@
             'fail': reply(500, b'failed', request_id, self.signature),
             'crossed': other + whole,
             'extra': whole + other,
+            'head': reply(200, b'', request_id, self.signature).replace(
+                b'Content-Length: 0', b'Content-Length: 9'
+            ),
+            'large': reply(200, b'x' * 600_000, request_id, self.signature),
             'cut-stream': stream
             + self.signature
             + b'\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n',
@@ -348,6 +352,57 @@
     assert b'Signature' not in answer
 
 
+def ask_on_one_connection(proxy: ProxySubject, requests: list[bytes]) -> bytes:
+    """Send requests at once and return all bytes until the end."""
+
+    async def ask() -> bytes:
+        reader, writer = await proxy.connect()
+        writer.write(b''.join(requests))
+        content = await reader.read(-1)
+        writer.close()
+        return content
+
+    return proxy.run(ask())
+
+
+@when('a caller sends HEAD /many/x twice on one connection')
+def sends_heads(context: Context) -> None:
+    proxy = context.proxy
+    last = proxy.request('HEAD', '/many/x', more=b'Connection: close\r\n')
+    requests = [proxy.request('HEAD', '/many/x'), last]
+    proxy.answers.append(ask_on_one_connection(proxy, requests))
+
+
+@then('the caller gets two heads with length {length:d} and no body')
+def two_heads(context: Context, length: int) -> None:
+    heads = context.proxy.answers[-1].split(b'\r\n\r\n')
+    assert len(heads) == 3 and heads[2] == b'', heads
+    for head in heads[:2]:
+        assert b'Content-Length: %d' % length in head, head
+
+
+@when('a caller sends two requests at once, the second to close')
+def pipelined(context: Context) -> None:
+    proxy = context.proxy
+    last = proxy.request('POST', '/once/x', 'b', more=b'Connection: close\r\n')
+    requests = [proxy.request('POST', '/once/x', 'a'), last]
+    proxy.answers.append(ask_on_one_connection(proxy, requests))
+
+
+@then('it gets two answers in order and then the end')
+def in_order(context: Context) -> None:
+    content = context.proxy.answers[-1]
+    first, second = content.find(b'ran 1'), content.find(b'ran 2')
+    assert 0 < first < second, content
+    assert content.count(b'Connection: close') == 1, content
+
+
+@then('the caller gets {size:d} bytes with the signature')
+def gets_bytes(context: Context, size: int) -> None:
+    head, _empty, body = context.proxy.answers[-1].partition(b'\r\n\r\n')
+    assert ScriptedEndpoint.signature in head and len(body) == size, head
+
+
 @then('the endpoint got {method} {target} with body "{body}" and no key')
 def endpoint_got(context: Context, method: str, target: str, body: str) -> None:
     request = context.proxy.endpoints[0].requests[0]
--- /dev/null
+++ b/features/unit/decision_log.feature
@@ -0,0 +1,13 @@
+Feature: Log of decisions
+  Guards against a VM that waits for the reader of its log, and against lines
+  that are lost without a trace.
+
+  Scenario: A reader that stands still costs lines, not time
+    Given a decision log whose reader stands still
+    When 20000 long lines are written to it
+    Then none of the writes waits and the dropped lines are counted
+
+  Scenario: Many lines of one event are counted instead of written
+    Given a decision log at 1000 ms
+    When 100 events are recorded, and one more at 2100 ms
+    Then 41 lines are written and the last one says that 60 were left out
--- a/packages/daemon/src/baobabwharf_daemon/decision_log.py
+++ b/packages/daemon/src/baobabwharf_daemon/decision_log.py
@@ -8,6 +8,8 @@
 import msgspec
 from baobabwharf_core.clock import Clock
 
+from baobabwharf_daemon.metrics import DROPPED_LINES
+
 # Lines of one kind that are written in a second; more are counted.
 LINES_PER_S = 40
 _WINDOW_MS = 1000
@@ -32,7 +34,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line and write what the descriptor takes."""
         if len(self._waiting) >= _MAX_WAITING:
-            self.dropped += 1
+            self._drop(1)
             return
         self._waiting.append(self.format(record).encode() + b'\n')
         self.flush()
@@ -48,12 +50,16 @@
                 return
             except OSError:
                 # Nobody reads any more; the counter tells how much is lost.
-                self.dropped += len(self._waiting) + 1
+                self._drop(len(self._waiting) + 1)
                 self._waiting.clear()
                 self._rest = b''
                 return
             self._rest = self._rest[written:]
 
+    def _drop(self, count: int) -> None:
+        self.dropped += count
+        DROPPED_LINES.set({}, self.dropped)
+
     def _next_batch(self) -> bytes:
         size = min(_MAX_BATCH, len(self._waiting))
         return b''.join(self._waiting.popleft() for _line in range(size))
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -30,6 +30,7 @@
 RETRY_HEADER = b'Baobabwharf-Retry-Ms'
 NOT_RUN = b'not_run'
 MAY_HAVE_RUN = b'may_have_run'
+HEAD = b'HEAD'
 
 _REDIRECT = 300
 _OK = 200
@@ -93,7 +94,11 @@
         self.sent_ms = self._clock.now_ms()
         payload = encode_request(request, self._headers(request, plan))
         request_id = plan.facts.request_id
-        connection.send(payload, lambda head: self._belongs(head, request_id))
+        connection.send(
+            payload,
+            lambda head: self._belongs(head, request_id),
+            bodiless=request.method == HEAD,
+        )
         head = await connection.head()
         if isinstance(head, Lost):
             return Ended.LOST
@@ -172,15 +177,21 @@
         return ReplyKind.FAILURE
 
 
-async def read_rest(opened: Opened, limit: int) -> bytes | Lost | None:
-    """Return the whole body, None if it is longer than the limit."""
-    body = bytearray()
-    while True:
+class Body(msgspec.Struct, frozen=True):
+    """Hold what was read of a body; whole tells that nothing follows."""
+
+    content: bytes
+    whole: bool
+
+
+async def read_rest(opened: Opened, limit: int) -> Body | Lost:
+    """Return the body, or its beginning if it is longer than the limit."""
+    content = bytearray()
+    while len(content) <= limit:
         block = await opened.connection.block()
         if isinstance(block, Lost):
             return block
         if not block:
-            return bytes(body)
-        body += block
-        if len(body) > limit:
-            return None
+            return Body(bytes(content), whole=True)
+        content += block
+    return Body(bytes(content), whole=False)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/caller_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/caller_connection.py
@@ -51,7 +51,8 @@
     def __init__(self, handler: CallHandler, limits: LimitsSource) -> None:
         self._handler = handler
         self._limits = limits
-        self._waiting: deque[WireRequest | int] = deque()
+        # Requests with whether another may follow, and statuses of faults.
+        self._waiting: deque[tuple[WireRequest, bool] | int] = deque()
         self._running: asyncio.Task[None] | None = None
         self._timer = _Timer()
         self._keeps_alive = True
@@ -80,8 +81,7 @@
     def request_ends(self, request: WireRequest, *, keep_alive: bool) -> None:
         """Queue a whole request."""
         self._timer.clear()
-        self._keeps_alive = keep_alive and not self._stopping
-        self._queue(request)
+        self._queue((request, keep_alive))
 
     def refuse(self, status: int) -> None:
         """Answer a request that can't be read, after those before it."""
@@ -133,7 +133,7 @@
         if self._running is not None:
             self._running.cancel()
 
-    def _queue(self, entry: WireRequest | int) -> None:
+    def _queue(self, entry: tuple[WireRequest, bool] | int) -> None:
         self._waiting.append(entry)
         if len(self._waiting) >= _MAX_PIPELINED:
             self.transport.pause_reading()
@@ -146,8 +146,10 @@
             self._keeps_alive = False
             Call(_UNREADABLE, self).answer(entry, b'Refused', [], b'')
             return
+        request, keep_alive = entry
+        self._keeps_alive = keep_alive and not self._stopping
         loop = asyncio.get_running_loop()
-        self._running = loop.create_task(self._run(Call(entry, self)))
+        self._running = loop.create_task(self._run(Call(request, self)))
 
     async def _run(self, call: Call) -> None:
         try:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/dialect.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/dialect.py
@@ -59,7 +59,3 @@
         self, facts: CallFacts | None, refusal: Refusal
     ) -> list[Header]:
         """Return the headers of a refusal, except those of its body."""
-
-    @abc.abstractmethod
-    def event_id(self, event: bytes) -> int | None:
-        """Return the id of one whole event of a stream."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
@@ -78,9 +78,11 @@
             self._transport.pause_reading()
         self._wake()
 
-    def send(self, request: bytes, belongs: BelongsTo) -> None:
+    def send(
+        self, request: bytes, belongs: BelongsTo, *, bodiless: bool
+    ) -> None:
         """Write a request; its reply is the one that belongs to it."""
-        self._reply.expect(belongs)
+        self._reply.expect(belongs, bodiless=bodiless)
         self._pending = True
         self.used += 1
         self._transport.write(request)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
@@ -10,8 +10,10 @@
 
 from baobabwharf_daemon.metrics import ATTEMPTS
 from baobabwharf_daemon.proxy.attempt import (
+    HEAD,
     RETRY_HEADER,
     Attempt,
+    Body,
     Opened,
     ReplyKind,
     read_rest,
@@ -24,7 +26,7 @@
 from baobabwharf_daemon.proxy.tools import Tools
 
 # Answers up to that size are passed on only once they are whole, so that a
-# cut one can be repeated or refused.
+# cut one can be repeated or refused; larger ones are relayed as they arrive.
 _WHOLE_BYTES = 262_144
 _SERVER_ERROR = 500
 _INTERNAL_PREFIX = b'baobabwharf-'
@@ -75,8 +77,10 @@
             placed = self._tools.placer.place(
                 self._plan, self._service, self._avoided
             )
+            if placed.is_error() and self._plan.sends.may_have_run:
+                return Refusal(RefusalCode.ENDPOINT_FAILED, Executed.UNKNOWN)
             if placed.is_error():
-                return self._not_placed(placed.error)
+                return placed.error
             ended = await self._attempt(placed.ok)
             if ended is None:
                 return None
@@ -84,11 +88,6 @@
             if not self._may_repeat(ended):
                 return self._plan.sends.refusal(ended, self._retry_after_ms)
 
-    def _not_placed(self, refusal: Refusal) -> Refusal:
-        if self._plan.sends.may_have_run:
-            return Refusal(RefusalCode.ENDPOINT_FAILED, Executed.UNKNOWN)
-        return refusal
-
     def _may_repeat(self, ended: Ended) -> bool:
         if not self._plan.sends.may_repeat(ended):
             return False
@@ -135,6 +134,7 @@
             unread_tokens=None if load is None else load.total_unread,
             running=None if load is None else load.total_running,
             told_age_ms=None if load is None else load.told_age_ms(now_ms),
+            reported=None if load is None else load.reported(now_ms),
             left_ms=self._plan.deadline_ms - now_ms,
         )
 
@@ -202,7 +202,7 @@
             stated = opened.head.header(RETRY_HEADER.lower())
             self._retry_after_ms = int(stated) if stated else None
         rest = await read_rest(opened, _WHOLE_BYTES)
-        if isinstance(rest, bytes):
+        if isinstance(rest, Body) and rest.whole:
             attempt.whole()
         return _BY_KIND[opened.kind]
 
@@ -216,28 +216,41 @@
         attempt.prompt_read()
         if isinstance(body, Lost):
             return Ended.LOST
-        if body is None:
-            return Ended.LOST
-        attempt.whole()
-        _answer(self._call, opened.head, body)
+        await self._pass_on(attempt, opened, body)
         return None
 
     async def _take_failure(
         self, attempt: Attempt, opened: Opened
     ) -> Ended | None:
         body = await read_rest(opened, _WHOLE_BYTES)
-        if not isinstance(body, bytes):
+        if isinstance(body, Lost):
             return Ended.LOST
-        attempt.whole()
-        if self._may_repeat_failure(opened.head):
+        if body.whole and self._may_repeat_failure(opened.head):
             self._plan.sends.sent += 1
             self._log('repeat_failure', status=opened.head.status)
             second = await self._attempt_second()
             if second is None:
+                attempt.whole()
                 return None
-        _answer(self._call, opened.head, body)
+        await self._pass_on(attempt, opened, body)
         return None
 
+    async def _pass_on(
+        self, attempt: Attempt, opened: Opened, body: Body
+    ) -> None:
+        """Answer with a whole body, or begin with what was read of it."""
+        if body.whole:
+            attempt.whole()
+            head = opened.head
+            length = len(body.content)
+            if self._call.request.method == HEAD:
+                length = head.length or 0
+            self._call.start(head.status, head.reason, _passed_on(head), length)
+            self._call.write(body.content)
+            self._call.finish()
+        else:
+            await self._relay(attempt, opened, body.content)
+
     def _may_repeat_failure(self, head: ReplyHead) -> bool:
         """Tell whether the endpoint's failure may be replaced by a result."""
         sends = self._plan.sends
@@ -286,10 +299,6 @@
         )
 
 
-def _answer(call: Call, head: ReplyHead, body: bytes) -> None:
-    call.answer(head.status, head.reason, _passed_on(head), body)
-
-
 def _passed_on(head: ReplyHead) -> list[Header]:
     return [
         pair
--- a/packages/daemon/src/baobabwharf_daemon/proxy/reply_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/reply_reader.py
@@ -41,6 +41,7 @@
         self._skipping = False
         self._skipped = 0
         self._by_close = False
+        self._bodiless = False
         self.head: ReplyHead | None = None
         self.blocks: deque[bytes] = deque()
         self.buffered = 0
@@ -53,9 +54,10 @@
         """Tell whether only the end of the connection ends the reply."""
         return self.head is not None and self._by_close
 
-    def expect(self, belongs: BelongsTo) -> None:
-        """Wait for the reply to a request."""
+    def expect(self, belongs: BelongsTo, *, bodiless: bool) -> None:
+        """Wait for the reply to a request; one to HEAD has no body."""
         self._belongs = belongs
+        self._bodiless = bodiless
         self.head = None
         self.blocks.clear()
         self.buffered = 0
@@ -113,6 +115,10 @@
             return
         self.head = head
         self._by_close = endless
+        if self._bodiless:
+            # The parser would take what follows for the body.
+            self.complete = True
+            self.reusable = False
         if not self._parser.should_keep_alive():
             self.reusable = False
         self.idle_limit_ms = _idle_limit_ms(head)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -134,6 +134,16 @@
         self.sample = sample
         self.sampled_ms = now_ms
 
+    def reported(self, now_ms: int) -> str | None:
+        """Return the load that the endpoint stated last, for the log."""
+        sample = self.sample
+        if sample is None:
+            return None
+        return (
+            f'{sample.running} running, {sample.waiting} waiting, '
+            f'{now_ms - self.sampled_ms} ms ago'
+        )
+
     def note_outcome(self, failed: bool) -> None:
         """Learn from the end of an attempt."""
         self.failure_share += _FAILURE_WEIGHT * (failed - self.failure_share)
@@ -145,9 +155,3 @@
         pause_ms = min(_REST_CEILING_MS, _REST_FLOOR_MS * 2**self._rests)
         self._rests += 1
         self.rest_until_ms = now_ms + pause_ms
-
-    def wake(self) -> None:
-        """Forget the failures, since the endpoint has started anew."""
-        self._rests = 0
-        self.failure_share = 0.0
-        self.rest_until_ms = 0
