Log refusals of forwarded requests; name who knows the other VMs

Found by reading the change: a VM that refused a request of another VM said so only to that VM, so the trace of the request lacked the inputs of the decision.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -113,3 +113,4 @@
     Given an entry VM with endpoints that do: ok
     Then a forwarded request is served without a key
     And without endpoints a forwarded request is refused as not run
+    And the log says that forwarded request id-1 was refused as no_endpoint
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -535,3 +535,16 @@
     answer = forwarded(context.proxy)
     assert status_of(answer) == 503, answer
     assert b'Baobabwharf-Outcome: not_run' in answer
+
+
+@then(
+    'the log says that forwarded request {request_id} was refused as {reason}'
+)
+def logged_refusal(context: Context, request_id: str, reason: str) -> None:
+    refused = [
+        line
+        for line in context.proxy.lines
+        if line['event'] == 'refused' and line['request'] == request_id
+    ]
+    assert [line['reason'] for line in refused] == [reason], refused
+    assert refused[0]['forwarded']
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -21,6 +21,7 @@
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.gateway.http_server import HttpServer
+from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
 from baobabwharf_daemon.metrics import REVISION
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
@@ -130,9 +131,9 @@
         return self._table is not None and not self._stop_requested.is_set()
 
     @property
-    def peers(self) -> LimitsParts:
-        """Return the tasks that know the other VMs."""
-        return self._limits
+    def members(self) -> MembershipView:
+        """Return who knows the other VMs."""
+        return self._limits.peers
 
     async def start(self) -> None:
         """Start every task; callers are served last."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -103,6 +103,8 @@
         else:
             refusal = await self._run_forwarded(call, facts, table)
         if refusal is not None:
+            request_id = None if facts is None else facts.request_id
+            self._note_refusal(request_id, refusal, forwarded=True)
             _refuse_forwarded(call, refusal)
 
     async def _run_forwarded(
@@ -200,23 +202,30 @@
 
     def _refuse(
         self, call: Call, facts: CallFacts | None, refusal: Refusal
+    ) -> None:
+        request_id = None if facts is None else facts.request_id
+        self._note_refusal(request_id, refusal, forwarded=False)
+        if call.started:
+            call.abort()
+            return
+        headers = self._tools.dialect.refusal_headers(facts, refusal)
+        sentence = refusal.sentence.encode()
+        call.answer(refusal.status, b'Refused', headers, sentence)
+
+    def _note_refusal(
+        self, request_id: str | None, refusal: Refusal, *, forwarded: bool
     ) -> None:
         REFUSALS.inc({'reason': refusal.code.value})
         self._tools.log.record(
             'refused',
-            request=None if facts is None else facts.request_id,
+            request=request_id,
+            forwarded=forwarded,
             reason=refusal.code.value,
             executed=refusal.executed.value,
             retry_after_ms=refusal.retry_after_ms,
             inputs=refusal.detail,
             config_version=self._version(),
         )
-        if call.started:
-            call.abort()
-            return
-        headers = self._tools.dialect.refusal_headers(facts, refusal)
-        sentence = refusal.sentence.encode()
-        call.answer(refusal.status, b'Refused', headers, sentence)
 
     def _note_end(
         self,
