Remove a dead parameter and unused methods of the proxy

The load of an endpoint was always first made with the default guess of its memory, so the figure of the deployment that placer and exchange passed later never had an effect; the guess is now the only figure, as it was in force. Two abort methods had no caller, and settling a reservation stood in two branches.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/caller_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/caller_connection.py
@@ -214,10 +214,6 @@
         """Close once idle; answers from now on say so."""
         self._calls.stop()
 
-    def abort(self) -> None:
-        """Reset the connection."""
-        self._calls.abort()
-
 
 @final
 class CallerListener:
@@ -255,8 +251,3 @@
         """Stop listening."""
         if self._server is not None:
             self._server.close()
-
-    def abort(self) -> None:
-        """Reset what is still open."""
-        for connection in tuple(self._connections):
-            connection.abort()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/exchange.py
@@ -141,9 +141,7 @@
     def _load_of(self, place: Place) -> EndpointLoad | None:
         if place.record is None:
             return None
-        engine = self._service.engine
-        tokens = engine.cache_tokens if engine else 0
-        return self._tools.placer.loads.load(place.record, tokens)
+        return self._tools.placer.loads.load(place.record)
 
     def _learn(
         self,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -127,12 +127,10 @@
         self._tools.retries.note_request(prepared.service.name)
         refusal = await exchange.run()
         reservation = charged.ok
-        if reservation is not None and refusal is not None:
-            not_run = refusal.executed is Executed.NO
+        if reservation is not None:
+            not_run = refusal is not None and refusal.executed is Executed.NO
             used = 0 if not_run else reservation.tokens
             self._limits.settle(reservation, used)
-        elif reservation is not None:
-            self._limits.settle(reservation, reservation.tokens)
         return refusal
 
     async def _charge(
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
@@ -14,8 +14,8 @@
     LoadShare,
 )
 
-# Until an endpoint gets its first request its memory does not matter.
-_UNKNOWN_CACHE_TOKENS = 500_000
+# A guess at an engine's memory, below that of the engines in use; see issue 10.
+_CACHE_TOKENS = 500_000
 
 
 @final
@@ -27,15 +27,11 @@
         self._book = book
         self._loads: dict[EndpointId, tuple[int, EndpointLoad]] = {}
 
-    def load(
-        self,
-        record: EndpointRecord,
-        cache_tokens: int = _UNKNOWN_CACHE_TOKENS,
-    ) -> EndpointLoad:
+    def load(self, record: EndpointRecord) -> EndpointLoad:
         """Return the load of an endpoint; a new incarnation starts anew."""
         known = self._loads.get(record.endpoint_id)
         if known is None or known[0] != record.incarnation:
-            known = (record.incarnation, EndpointLoad(cache_tokens))
+            known = (record.incarnation, EndpointLoad(_CACHE_TOKENS))
             self._loads[record.endpoint_id] = known
         return known[1]
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -220,7 +220,7 @@
         self, service: DeployedService, excluded: frozenset[EndpointId]
     ) -> list[Candidate]:
         found = [
-            self._candidate(entry, service)
+            self._candidate(entry.record)
             for entry in self._book.of_service(service.name)
             if self._usable(entry, service)
             and entry.record.endpoint_id not in excluded
@@ -228,13 +228,8 @@
         sound = [one for one in found if not one.load.failing]
         return sound if len(sound) >= len(found) * _PANIC_SHARE else found
 
-    def _candidate(
-        self, entry: BookEntry, service: DeployedService
-    ) -> Candidate:
-        record = entry.record
-        engine = service.engine
-        tokens = 0 if engine is None else engine.cache_tokens
-        load = self.loads.load(record, tokens)
+    def _candidate(self, record: EndpointRecord) -> Candidate:
+        load = self.loads.load(record)
         return Candidate(record.endpoint_id, load, record.slots)
 
     def _in_use(self, record: EndpointRecord) -> bool:
