--- a/features/steps/metering_exchange.py
+++ b/features/steps/metering_exchange.py
@@ -8,7 +8,8 @@
 from baobabwharf_core.model import Customer, FleetConfig, VmRecord
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.proxy.metering import Metering
-from baobabwharf_decisions.limits.shared_meter import Spending
+from baobabwharf_daemon.proxy.relay_mode import RelayMode
+from baobabwharf_decisions.limits.spending import Period, Spending
 from behave import given, then, when
 from behave.runner import Context
 
@@ -47,14 +48,19 @@
 
     async def exchange(self, tokens: int) -> Spending:
         metering = Metering(
-            self.own, self.port, SystemClock(), Alone(), lambda: self.config
+            self.own,
+            self.port,
+            SystemClock(),
+            Alone(),
+            lambda: self.config,
+            RelayMode(lambda: self.config),
         )
         await metering.start()
         loop = asyncio.get_running_loop()
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as speaker:
             speaker.bind((_OTHER_HOST, self.port))
             speaker.setblocking(False)
-            told = Spending('other', 1, 1, {'c': tokens})
+            told = Spending('other', 1, (Period(1, {'c': tokens}),))
             speaker.sendto(encode(told), (_PORT_HOST, self.port))
             try:
                 content = await asyncio.wait_for(
--- a/features/steps/proxying.py
+++ b/features/steps/proxying.py
@@ -12,8 +12,12 @@
     RouteKind,
     RouteShare,
 )
-from baobabwharf_core.model import FleetConfig
+from baobabwharf_core.model import FleetConfig, VmRecord
 from baobabwharf_decisions.fleet_state.configuration import apply_change
+from baobabwharf_decisions.membership.serving import (
+    proxies_by_region,
+    proxies_of,
+)
 from baobabwharf_decisions.proxying.cold_pace import ColdPace
 from baobabwharf_decisions.proxying.endpoint_book import (
     EndpointBook,
@@ -451,3 +455,45 @@
         for _try in range(20)
     }
     assert chosen_vms == {'other'}, chosen_vms
+
+
+class RegionSubject:
+    """Hold the live VMs of two regions."""
+
+    def __init__(self, entries: int, disks: int) -> None:
+        self.entries = [self.vm(f'e{one}', 'r') for one in range(entries)]
+        self.disks = [
+            self.vm(f'd{one}', 'r', has_disk=True) for one in range(disks)
+        ]
+        self.far = [self.vm('f', 'far'), self.vm('g', 'far', has_disk=True)]
+
+    def vm(self, name: str, region: str, *, has_disk: bool = False) -> VmRecord:
+        return VmRecord(name, region, 'z', has_disk, name, name, name)
+
+    def proxies(self) -> list[str]:
+        live = self.entries + self.disks + self.far
+        found = [vm.vm_id for vm in proxies_of(live, 'r')]
+        by_region = proxies_by_region(live)
+        assert found == [vm.vm_id for vm in by_region['r']]
+        assert [vm.vm_id for vm in by_region['far']] == ['f']
+        return found
+
+
+@given('a region with {entries:d} entry VMs and {disks:d} disk VM')
+def given_region(context: Context, entries: int, disks: int) -> None:
+    context.region = RegionSubject(entries, disks)
+
+
+@then('its entry VMs pass requests to its endpoints')
+def entries_pass(context: Context) -> None:
+    assert context.region.proxies() == ['e0', 'e1']
+
+
+@when('both entry VMs restart')
+def entries_restart(context: Context) -> None:
+    context.region.entries.clear()
+
+
+@then('its disk VM passes requests to its endpoints')
+def disk_passes(context: Context) -> None:
+    assert context.region.proxies() == ['d0']
--- a/features/steps/shared_meter.py
+++ b/features/steps/shared_meter.py
@@ -100,6 +100,7 @@
         return start_ms <= now_ms < end_ms and len(sides) > 1
 
     def tell(self, now_ms: int) -> None:
+        words = {name: self.meters[name].report() for name in self.names}
         for one, other in itertools.permutations(self.names, 2):
             lost = self.random.random() < self.loss
             silent = self.is_frozen(one, now_ms)
@@ -109,7 +110,7 @@
                 now_ms + _LINK_MS,
                 next(self.numbers),
                 other,
-                self.meters[one].report(),
+                words[one],
             )
             heapq.heappush(self.under_way, entry)
 
--- /dev/null
+++ b/features/steps/spending_relays.py
@@ -0,0 +1,212 @@
+"""Run meters of many VMs that tell relays instead of each other."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from baobabwharf_core.model import Customer, VmRecord
+from baobabwharf_decisions.limits.shared_meter import SharedMeter
+from baobabwharf_decisions.limits.spending_relay import SpendingRelay
+from baobabwharf_decisions.membership.relay_choice import (
+    RelayChoice,
+    candidates,
+    needs_relays,
+)
+from behave import given, then, when
+from behave.runner import Context
+
+_REGIONS = ('north', 'south', 'west')
+_DISKS = 2
+_NEAR_MS = 4
+_FAR_MS = 55
+_PERIOD_MS = 100
+_MEAN_TOKENS = 5000
+_WINDOW_MS = 8000
+_OVERAGE = 1.1
+
+
+def vm(name: str, region: str, *, has_disk: bool) -> VmRecord:
+    return VmRecord(name, region, region, has_disk, name, name, name)
+
+
+class RelayedFleet:
+    """Hold entry VMs with meters, disk VMs that relay, and the messages."""
+
+    def __init__(self, count: int, rate: int) -> None:
+        self.customer = Customer('hot', rate, rate)
+        self.entries = [
+            vm(f'e{number:02}', _REGIONS[number % 3], has_disk=False)
+            for number in range(count)
+        ]
+        self.disks = [
+            vm(f'd{number}', _REGIONS[number % 3], has_disk=True)
+            for number in range(_DISKS * len(_REGIONS))
+        ]
+        self.records = {one.vm_id: one for one in self.entries + self.disks}
+        self.names = [one.vm_id for one in self.entries]
+        self.meters = {name: SharedMeter(name, 1) for name in self.names}
+        for meter in self.meters.values():
+            meter.configure({'hot': self.customer}, self.names)
+        self.choices = {name: RelayChoice() for name in self.names}
+        self.relays = {name: SpendingRelay(name, 1) for name in self.records}
+        self.under_way: list[tuple[int, int, Callable[[int], None]]] = []
+        self.numbers = itertools.count()
+        self.granted: list[tuple[int, int]] = []
+        self.asked = self.refused = self.messages = 0
+        self.loss = 0.0
+        self.cut: tuple[int, int] = (0, 0)
+        self.dead: dict[str, tuple[int, int]] = {}
+
+    def trouble(self, kind: str) -> None:
+        if kind == 'lost datagrams':
+            self.loss = 0.2
+        elif kind == 'a region cut off':
+            self.cut = (8000, 18_000)
+        elif kind == 'a relay that stops':
+            self.dead = {'d0': (8000, 14_000)}
+        elif kind == 'all disk VMs down':
+            self.dead = {one.vm_id: (8000, 16_000) for one in self.disks}
+        else:
+            assert kind == 'nothing', kind
+
+    def run(self, factor: float, length_ms: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        phases = {
+            name: self.random.randrange(_PERIOD_MS) for name in self.records
+        }
+        due = 0.0
+        for now_ms in range(length_ms):
+            while self.under_way and self.under_way[0][0] <= now_ms:
+                heapq.heappop(self.under_way)[2](now_ms)
+            for name, phase in phases.items():
+                if (now_ms - phase) % _PERIOD_MS == 0:
+                    self.tick(name, now_ms)
+            due += self.customer.rate_tokens_per_s * factor / 1000
+            while due > 0:
+                due -= self.ask(now_ms)
+
+    def ask(self, now_ms: int) -> int:
+        tokens = int(self.random.uniform(0.2, 1.8) * _MEAN_TOKENS)
+        meter = self.meters[self.random.choice(self.names)]
+        self.asked += 1
+        if meter.take('hot', tokens, now_ms).is_ok():
+            self.granted.append((now_ms, tokens))
+        else:
+            self.refused += 1
+        return tokens
+
+    def tick(self, name: str, now_ms: int) -> None:
+        if not self.is_alive(name, now_ms):
+            return
+        relay = self.relays[name]
+        if relay.has_members:
+            totals = relay.close(now_ms)
+            firsts = {self.ranked(name, one)[0] for one in _REGIONS}
+            for other in (firsts | set(relay.relays)) - {name}:
+                self.send(
+                    name,
+                    other,
+                    now_ms,
+                    lambda at, other=other, totals=totals: self.relays[
+                        other
+                    ].hear_relay(totals, at),
+                )
+        if name in self.meters:
+            self.call(name, now_ms)
+
+    def call(self, name: str, now_ms: int) -> None:
+        ranked = self.ranked(name, self.records[name].region)
+        relay = self.choices[name].next_call(ranked, now_ms)
+        told = self.meters[name].report()
+        seen = self.meters[name].newest_of(relay)
+
+        def arrive(at_ms: int) -> None:
+            self.relays[relay].hear_member(told, at_ms)
+            answer = self.relays[relay].answer(name, seen)
+            self.send(relay, name, at_ms, lambda at: take(at, answer))
+
+        def take(at_ms: int, answer: object) -> None:
+            if self.choices[name].current == relay:
+                self.choices[name].note_answer(relay)
+                self.meters[name].hear_relay(answer, at_ms)
+                self.meters[name].tell_every(_PERIOD_MS)
+
+        self.send(name, relay, now_ms, arrive)
+
+    def ranked(self, name: str, region: str) -> list[str]:
+        return candidates(self.records.values(), region)
+
+    def send(
+        self, one: str, other: str, now_ms: int, job: Callable[[int], None]
+    ) -> None:
+        regions = {self.records[one].region, self.records[other].region}
+        self.messages += 1
+        start_ms, end_ms = self.cut
+        cut = (
+            len(regions) > 1
+            and 'west' in regions
+            and start_ms <= now_ms < end_ms
+        )
+        if cut or self.random.random() < self.loss:
+            return
+        at_ms = now_ms + (_NEAR_MS if len(regions) == 1 else _FAR_MS)
+        if self.is_alive(other, at_ms):
+            heapq.heappush(self.under_way, (at_ms, next(self.numbers), job))
+
+    def is_alive(self, name: str, now_ms: int) -> bool:
+        start_ms, end_ms = self.dead.get(name, (0, 0))
+        return not start_ms <= now_ms < end_ms
+
+    def most_in_window(self) -> int:
+        most = total = first = 0
+        for at_ms, tokens in self.granted:
+            total += tokens
+            while self.granted[first][0] <= at_ms - _WINDOW_MS:
+                total -= self.granted[first][1]
+                first += 1
+            most = max(most, total)
+        return most
+
+
+@given('{count:d} relayed VMs and a customer of {rate:d} tokens/s')
+def relayed_vms(context: Context, count: int, rate: int) -> None:
+    assert needs_relays(count)
+    context.relayed = RelayedFleet(count, rate)
+
+
+@when(
+    'it sends {factor:g} times its rate for {length:d} s, seed {seed:d}, with {trouble}'
+)
+def sends(
+    context: Context, factor: float, length: int, seed: int, trouble: str
+) -> None:
+    context.seconds = length
+    context.relayed.trouble(trouble)
+    context.relayed.run(factor, length * 1000, seed)
+
+
+@then('no window of 8 s exceeds its cap by {slack:d} tokens')
+def within_cap(context: Context, slack: int) -> None:
+    fleet = context.relayed
+    customer = fleet.customer
+    entitled = customer.rate_tokens_per_s * _WINDOW_MS // 1000
+    bound = (entitled + customer.burst_tokens) * _OVERAGE + slack
+    most = fleet.most_in_window()
+    assert entitled // 2 <= most <= bound, (entitled, most, bound)
+
+
+@then('at most {most:d} in 100 of them are refused')
+def rarely_refused(context: Context, most: int) -> None:
+    fleet = context.relayed
+    assert fleet.refused * 100 <= fleet.asked * most, (
+        fleet.refused,
+        fleet.asked,
+    )
+
+
+@then('a VM sends and gets at most {most:d} messages a second')
+def few_messages(context: Context, most: int) -> None:
+    fleet = context.relayed
+    per_s = 2 * fleet.messages / len(fleet.entries) / context.seconds
+    assert per_s <= most, per_s
--- a/features/unit/proxying.feature
+++ b/features/unit/proxying.feature
@@ -112,3 +112,9 @@
     Then at 1100 ms the region is chosen for urgency 1 if no other may serve
     When its VM can't be reached at 1100 ms
     Then at 1200 ms another VM of the region is chosen for urgency 0
+
+  Scenario: Disk VMs stand in for the entry VMs of their region
+    Given a region with 2 entry VMs and 1 disk VM
+    Then its entry VMs pass requests to its endpoints
+    When both entry VMs restart
+    Then its disk VM passes requests to its endpoints
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -1,7 +1,8 @@
 """Run a VM that passes requests of a deployment to its endpoints.
 
 An entry VM serves callers and keeps nothing; a disk VM keeps the replicated
-state, hears endpoints and serves operators.  Both run this program.
+state, hears endpoints and serves operators, and stands in for the entry VMs
+of its region towards other regions.  Both run this program.
 """
 
 import asyncio
@@ -94,6 +95,7 @@
             self._placer.loads,
             self._limits,
             lambda: self._consensus.follower.config,
+            log,
         )
         self._telling = telling.tasks
         self._ingress = Ingress(
@@ -113,7 +115,9 @@
         self._loops: list[asyncio.Task[None]] = []
         self._started: list[Task] = []
         self._metrics: HttpServer | None = None
-        self._slots = RegionSlots(clock, self._placer, self._limits.peers)
+        self._slots = RegionSlots(
+            clock, self._record, self._placer, self._limits.peers
+        )
 
     @property
     def record(self) -> VmRecord:
@@ -153,8 +157,8 @@
             (self._limits.peers, *self._telling, registration)
         )
         await self._serve_metrics()
+        await self._forwards.start(listen.host, listen.forward_port)
         if self.is_entry:
-            await self._forwards.start(listen.host, listen.forward_port)
             await self._callers.start(listen.host, listen.caller_port)
         self._log.record(
             'vm_started',
@@ -175,8 +179,7 @@
     async def run_until_stopped(self) -> None:
         """Wait for a stop request, finish running requests, release all."""
         await self._stop_requested.wait()
-        if self.is_entry:
-            await self._drain()
+        await self._drain()
         for loop in self._loops:
             loop.cancel()
         while self._started:
@@ -214,7 +217,7 @@
         while self._clock.now_ms() < deadline_ms:
             self._callers.stop_idle()
             lingered = self._clock.now_ms() - begun_ms >= _LINGER_MS
-            if lingered and not self._open_connections():
+            if (lingered or not self.is_entry) and not self._open_connections():
                 break
             await asyncio.sleep(_STOP_POLL_S)
         self._callers.close()
@@ -257,8 +260,7 @@
     async def _keep_house(self) -> None:
         while True:
             self._tools.pool.sweep()
-            if self.is_entry:
-                self._slots.publish()
+            self._slots.publish()
             await asyncio.sleep(_HOUSEKEEPING_S)
 
     def _build_consensus(self) -> ConsensusParts:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
@@ -16,6 +16,7 @@
 
 # A guess at an engine's memory, below that of the engines in use; see issue 10.
 _CACHE_TOKENS = 500_000
+_NOTHING = LoadShare(0, 0, 0)
 
 
 @final
@@ -36,18 +37,29 @@
         return known[1]
 
     def own_shares(self) -> dict[EndpointId, LoadShare]:
-        """Return what this VM has at each endpoint."""
+        """Return what this VM has at each endpoint that it uses."""
         now_ms = self._clock.now_ms()
-        return {
+        shares = {
             endpoint_id: load.share(now_ms)
             for endpoint_id, (_incarnation, load) in self._loads.items()
         }
+        return {
+            endpoint_id: share
+            for endpoint_id, share in shares.items()
+            if share != _NOTHING
+        }
 
     def take_shares(
         self, vm_id: VmId, shares: Mapping[EndpointId, LoadShare]
     ) -> None:
-        """Take what another VM of the region has at each endpoint."""
+        """Replace what another VM of the region has running.
+
+        It has nothing at endpoints that it does not name.
+        """
         now_ms = self._clock.now_ms()
+        for endpoint_id, (_incarnation, load) in self._loads.items():
+            if endpoint_id not in shares:
+                load.drop_share(vm_id)
         for endpoint_id, share in shares.items():
             entry = self._book.entries.get(endpoint_id)
             if entry is not None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_exchange.py
@@ -1,4 +1,4 @@
-"""Tell the other entry VMs of the region what runs at its endpoints."""
+"""Tell the other proxies of the region what runs at its endpoints."""
 
 from typing import final
 
@@ -6,17 +6,21 @@
 from baobabwharf_core.codec import decode, encode
 from baobabwharf_core.ids import EndpointId, VmId
 from baobabwharf_core.model import VmRecord
+from baobabwharf_decisions.membership.serving import proxies_of
 from baobabwharf_decisions.proxying.endpoint_load import LoadShare
 
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
 from baobabwharf_daemon.proxy.load_book import LoadBook
+from baobabwharf_daemon.proxy.relay_mode import RelayMode
 from baobabwharf_daemon.vm_records import host_of
 
 # A few prompts are read in that time, so placements rarely collide.
 _PERIOD_S = 0.04
 # With more VMs each one tells less often: about 50 datagrams a second a VM.
 _PERIOD_PER_VM_S = 0.02
+# While there is nothing to tell, only silent VMs are looked for.
+_IDLE_S = 0.5
 # An unchanged load is told again, since datagrams get lost.
 _REPEAT_PERIODS = 8
 # Shares of a VM that is gone or partitioned stop counting.
@@ -41,12 +45,14 @@
         port: int,
         loads: LoadBook,
         members: MembershipView,
+        mode: RelayMode,
         start_ms: int,
     ) -> None:
         super().__init__(host_of(own), port)
         self._own = own
         self._loads = loads
         self._members = members
+        self._mode = mode
         self._sequence = start_ms
         self._newest: dict[VmId, int] = {}
         self._told: dict[EndpointId, LoadShare] = {}
@@ -55,6 +61,8 @@
     def take(self, content: bytes, host: str) -> None:
         """Take the report of another VM."""
         report = decode(content, LoadReport)
+        if self._mode.active:
+            return
         if self._newest.get(report.vm_id, -1) < report.sequence:
             self._newest[report.vm_id] = report.sequence
             self._loads.take_shares(report.vm_id, report.shares)
@@ -62,14 +70,17 @@
     def tell(self) -> float:
         """Send the own shares when they have changed."""
         self._loads.forget_silent(_SILENT_MS)
+        if self._mode.active:
+            return _IDLE_S
+        shares = self._loads.own_shares()
         hosts = [
             host_of(vm)
-            for vm in self._members.live_vms()
-            if vm.region == self._own.region
-            and not vm.has_disk
-            and vm.vm_id != self._own.vm_id
+            for vm in proxies_of(self._members.live_vms(), self._own.region)
+            if vm.vm_id != self._own.vm_id
         ]
-        shares = self._loads.own_shares()
+        if not shares and not self._told and self._own.has_disk:
+            # It stands in for entry VMs only now and then.
+            return _IDLE_S
         self._unchanged = self._unchanged + 1 if shares == self._told else 0
         if hosts and not self._unchanged % _REPEAT_PERIODS:
             self._told = shares
--- a/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
@@ -1,19 +1,21 @@
 """Meter customers together with the other entry VMs of the fleet."""
 
-from collections.abc import Callable
 from typing import final
 
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.codec import decode, encode
-from baobabwharf_core.ids import CustomerId
-from baobabwharf_core.model import FleetConfig, VmRecord
+from baobabwharf_core.ids import CustomerId, VmId
+from baobabwharf_core.model import VmRecord
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import Reservation
-from baobabwharf_decisions.limits.shared_meter import SharedMeter, Spending
+from baobabwharf_decisions.limits.shared_meter import SharedMeter
+from baobabwharf_decisions.limits.spending import Spending
+from baobabwharf_decisions.membership.serving import entry_vms
 from expression import Error, Ok, Result
 
 from baobabwharf_daemon.interfaces import LimitClient, MembershipView
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
+from baobabwharf_daemon.proxy.relay_mode import ConfigGetter, RelayMode
 from baobabwharf_daemon.vm_records import host_of
 
 # What is spent in that time and on the way is the overshoot of the scheme.
@@ -25,9 +27,10 @@
 # A VM that was heard so recently is told even if it has left the fleet.
 _STOPPING_MS = 2000
 
-_MS_PER_S = 1000
+# While relays carry the spending, only the mode is looked at.
+_RELAYED_PERIOD_S = 0.5
 
-ConfigGetter = Callable[[], FleetConfig]
+_MS_PER_S = 1000
 
 
 @final
@@ -41,16 +44,17 @@
         clock: Clock,
         members: MembershipView,
         config: ConfigGetter,
+        mode: RelayMode,
     ) -> None:
         super().__init__(host_of(own), port)
         self._own = own
         self._clock = clock
         self._members = members
         self._config = config
+        self._mode = mode
         self._meter = SharedMeter(own.vm_id, own.incarnation)
         self._revision = -1
         self._numbers = 0
-        self._told: dict[CustomerId, int] = {}
         self._unchanged = 0
         self._heard_ms: dict[str, int] = {}
 
@@ -87,19 +91,36 @@
         self._heard_ms[host] = now_ms
 
     def tell(self) -> float:
-        """Send what this VM has spent."""
+        """Send what this VM has spent, unless relays carry it."""
+        if self._mode.active:
+            return _RELAYED_PERIOD_S
         self._follow()
+        self._meter.drop_relay()
         hosts = self._hosts()
         spending = self._meter.report()
-        same = spending.tokens == self._told
+        same = self._meter.spent_nothing
         self._unchanged = self._unchanged + 1 if same else 0
         if not self._unchanged % _REPEAT_PERIODS:
-            self._told = spending.tokens
             self.send(encode(spending), sorted(hosts))
         period_s = max(_PERIOD_S, _PERIOD_PER_VM_S * len(hosts))
         self._meter.tell_every(int(period_s * _MS_PER_S))
         return period_s
 
+    def newest_of(self, vm_id: VmId) -> int:
+        """Return the newest period that a relay has told."""
+        return self._meter.newest_of(vm_id)
+
+    def report(self) -> Spending:
+        """Return what this VM has spent, for its relay."""
+        self._follow()
+        return self._meter.report()
+
+    def hear_relay(self, told: Spending, period_ms: int) -> None:
+        """Take what all others have spent, as told every period."""
+        self._follow()
+        self._meter.hear_relay(told, self._clock.now_ms())
+        self._meter.tell_every(period_ms)
+
     def _hosts(self) -> set[str]:
         """Return whom to tell: also a VM that stops still serves callers."""
         after_ms = self._clock.now_ms() - _STOPPING_MS
@@ -110,8 +131,8 @@
         }
         live = {
             host_of(vm)
-            for vm in self._members.live_vms()
-            if not vm.has_disk and vm.vm_id != self._own.vm_id
+            for vm in entry_vms(self._members.live_vms())
+            if vm.vm_id != self._own.vm_id
         }
         return live | set(self._heard_ms)
 
@@ -120,5 +141,5 @@
         if config.revision == self._revision:
             return
         self._revision = config.revision
-        entries = [vm.vm_id for vm in config.vms.values() if not vm.has_disk]
+        entries = [vm.vm_id for vm in entry_vms(config.vms.values())]
         self._meter.configure(config.customers, entries)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -10,6 +10,10 @@
 from baobabwharf_core.ids import EndpointId, RegionId, ServiceId, VmId, ZoneId
 from baobabwharf_core.model import VmRecord
 from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_decisions.membership.serving import (
+    proxies_by_region,
+    proxies_of,
+)
 from baobabwharf_decisions.proxying.cold_pace import ColdPace
 from baobabwharf_decisions.proxying.endpoint_book import (
     BookEntry,
@@ -98,12 +102,11 @@
 
     def away(self, plan: Plan, refused: frozenset[RegionId]) -> Place | None:
         """Return a VM of another region that may serve a request."""
-        vms: dict[RegionId, list[VmId]] = {}
-        records: dict[VmId, VmRecord] = {}
-        for vm in self._members.live_vms():
-            if not vm.has_disk:
-                vms.setdefault(vm.region, []).append(vm.vm_id)
-                records[vm.vm_id] = vm
+        proxies = proxies_by_region(self._members.live_vms())
+        vms = {
+            region: [vm.vm_id for vm in near]
+            for region, near in proxies.items()
+        }
         service = plan.facts.service
         offers = offers_of(
             self.slots, vms, service, plan.allowed, self._own.region, refused
@@ -113,8 +116,10 @@
         )
         if offer is None:
             return None
-        address = records[offer.vm_id].forward_address
-        return Place(address, offer.region, vm_id=offer.vm_id)
+        chosen = next(
+            vm for vm in proxies[offer.region] if vm.vm_id == offer.vm_id
+        )
+        return Place(chosen.forward_address, offer.region, vm_id=offer.vm_id)
 
     def session_place(self, plan: Plan, own_slots: int) -> Place | None:
         """Return a VM of the region that has read a long shared prompt."""
@@ -252,11 +257,8 @@
         return self._pace.may_send(record.endpoint_id, rate, vms, now_ms)
 
     def _region_vms(self) -> list[VmId]:
-        return [
-            vm.vm_id
-            for vm in self._members.live_vms()
-            if vm.region == self._own.region and not vm.has_disk
-        ]
+        live = self._members.live_vms()
+        return [vm.vm_id for vm in proxies_of(live, self._own.region)]
 
     def _choose(
         self,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/region_slots.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/region_slots.py
@@ -6,7 +6,9 @@
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.codec import decode, encode
 from baobabwharf_core.ids import RegionId, ServiceId, VmId
+from baobabwharf_core.model import VmRecord
 from baobabwharf_decisions.membership.items import Summary
+from baobabwharf_decisions.membership.serving import proxies_of
 
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.peers import Peers
@@ -22,8 +24,11 @@
 class RegionSlots:
     """Publish the slots of this region and take those of others."""
 
-    def __init__(self, clock: Clock, placer: Placer, peers: Peers) -> None:
+    def __init__(
+        self, clock: Clock, own: VmRecord, placer: Placer, peers: Peers
+    ) -> None:
         self._clock = clock
+        self._own = own
         self._placer = placer
         self._peers = peers
         self._published_ms = 0
@@ -31,17 +36,21 @@
         peers.listeners.on_summary(self._take)
 
     def publish(self) -> None:
-        """Publish the slots when they have changed."""
-        payload = encode(self._placer.own_slots())
+        """Publish the slots when they have changed, as a proxy."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._published_ms < _PERIOD_MS:
+        if now_ms - self._published_ms < _PERIOD_MS or not self._is_proxy():
             return
+        payload = encode(self._placer.own_slots())
         if payload != self._published:
             self._published_ms = now_ms
             self._published = payload
             version = self._clock.wall_ms()
             self._peers.publish_summary(_TOPIC, version, payload)
 
+    def _is_proxy(self) -> bool:
+        proxies = proxies_of(self._peers.live_vms(), self._own.region)
+        return any(vm.vm_id == self._own.vm_id for vm in proxies)
+
     def _take(self, summary: Summary) -> None:
         region = self._region_of(summary.origin)
         if summary.topic != _TOPIC or region is None:
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
@@ -0,0 +1,194 @@
+"""Carry loads and spending between the VMs of a large fleet by relays."""
+
+from typing import final
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_core.model import VmRecord
+from baobabwharf_decisions.limits.spending import Spending
+from baobabwharf_decisions.limits.spending_relay import SpendingRelay
+from baobabwharf_decisions.membership.relay_choice import (
+    RelayChoice,
+    candidates,
+)
+from baobabwharf_decisions.proxying.endpoint_load import LoadShare
+from baobabwharf_decisions.proxying.load_relay import LoadRelay
+
+from baobabwharf_daemon.decision_log import DecisionLog
+from baobabwharf_daemon.interfaces import MembershipView
+from baobabwharf_daemon.proxy.datagrams import DatagramTask
+from baobabwharf_daemon.proxy.load_book import LoadBook
+from baobabwharf_daemon.proxy.metering import Metering
+from baobabwharf_daemon.proxy.relay_mode import RelayMode
+from baobabwharf_daemon.vm_records import host_of
+
+# About one request arrives at an engine in that time at the stated peak.
+_PERIOD_S = 0.1
+# Bytes that a member may cause, of the 14 KB/s that control may use a VM.
+_BYTES_PER_S = 6000
+# A VM without members only looks whether it has become a relay.
+_IDLE_S = 0.5
+# Members call at least every few hundred ms.
+_SILENT_MS = 1500
+_MS_PER_S = 1000
+# The sums of a relay replace those of the one before.
+_RELAYED = VmId('relayed')
+
+Shares = dict[EndpointId, LoadShare]
+
+
+class RelayCall(msgspec.Struct, frozen=True, tag=True):
+    """Tell a relay what a VM does; seen is the newest period known of it."""
+
+    vm_id: VmId
+    seen: int
+    shares: Shares
+    spending: Spending
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Tell a member what all others do."""
+
+    vm_id: VmId
+    shares: Shares
+    spending: Spending
+
+
+class RelayTotals(msgspec.Struct, frozen=True, tag=True):
+    """Tell another relay what the members have spent."""
+
+    spending: Spending
+
+
+_Message = RelayCall | RelayAnswer | RelayTotals
+
+
+@final
+class Member:
+    """Call the relay of the region for one entry VM."""
+
+    def __init__(
+        self,
+        own: VmRecord,
+        loads: LoadBook,
+        metering: Metering,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        self._own = own
+        self._loads = loads
+        self._metering = metering
+        self._clock = clock
+        self._log = log
+        self._choice = RelayChoice()
+        self._call_bytes = 0
+        self._answer_bytes = 0
+
+    @property
+    def pause_s(self) -> float:
+        """Return the time until the next call, which its size decides."""
+        size = self._call_bytes + self._answer_bytes
+        return max(_PERIOD_S, size / _BYTES_PER_S)
+
+    def call(self, ranked: list[VmId]) -> tuple[VmId, bytes] | None:
+        """Return the next call and its relay."""
+        before = self._choice.current
+        relay = self._choice.next_call(ranked, self._clock.now_ms())
+        if relay != before:
+            self._log.record('relay_chosen', relay=relay, before=before)
+        if relay is None:
+            return None
+        content = encode(
+            RelayCall(
+                self._own.vm_id,
+                self._metering.newest_of(relay),
+                self._loads.own_shares(),
+                self._metering.report(),
+            )
+        )
+        self._call_bytes = len(content)
+        return relay, content
+
+    def take(self, answer: RelayAnswer, size: int) -> None:
+        """Take the answer of a relay."""
+        if answer.vm_id != self._choice.current:
+            return
+        self._choice.note_answer(answer.vm_id)
+        self._answer_bytes = size
+        self._loads.take_shares(_RELAYED, answer.shares)
+        self._metering.hear_relay(
+            answer.spending, int(self.pause_s * _MS_PER_S)
+        )
+
+
+@final
+class RelayExchange(DatagramTask):
+    """Relay for members and, on an entry VM, be one."""
+
+    def __init__(
+        self,
+        own: VmRecord,
+        port: int,
+        clock: Clock,
+        members: MembershipView,
+        mode: RelayMode,
+        member: Member | None,
+    ) -> None:
+        super().__init__(host_of(own), port)
+        self._own = own
+        self._clock = clock
+        self._members = members
+        self._mode = mode
+        self._member = member
+        self._loads = LoadRelay()
+        self._spending = SpendingRelay(own.vm_id, own.incarnation)
+
+    def take(self, content: bytes, host: str) -> None:
+        """Take a message of a member or of a relay."""
+        message: _Message = decode(content, _Message)  # type: ignore[arg-type]
+        now_ms = self._clock.now_ms()
+        if isinstance(message, RelayCall):
+            self._loads.hear(message.vm_id, message.shares, now_ms)
+            self._spending.hear_member(message.spending, now_ms)
+            self.send(encode(self._answer(message)), [host])
+        elif isinstance(message, RelayTotals):
+            self._spending.hear_relay(message.spending, now_ms)
+        elif self._member is not None and self._mode.active:
+            self._member.take(message, len(content))
+
+    def tell(self) -> float:
+        """Send what is due as a relay and as a member."""
+        if not self._mode.active:
+            return _IDLE_S
+        relaying = self._spending.has_members
+        if relaying:
+            self._tell_relays()
+        if self._member is None:
+            return _PERIOD_S if relaying else _IDLE_S
+        live = self._members.live_vms()
+        called = self._member.call(candidates(live, self._own.region))
+        if called is not None:
+            hosts = [host_of(vm) for vm in live if vm.vm_id == called[0]]
+            self.send(called[1], hosts)
+        return _PERIOD_S if relaying else self._member.pause_s
+
+    def _answer(self, call: RelayCall) -> RelayAnswer:
+        return RelayAnswer(
+            self._own.vm_id,
+            self._loads.others_of(call.vm_id),
+            self._spending.answer(call.vm_id, call.seen),
+        )
+
+    def _tell_relays(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._loads.forget_silent(_SILENT_MS, now_ms)
+        totals = encode(RelayTotals(self._spending.close(now_ms)))
+        live = self._members.live_vms()
+        wanted = set(self._spending.relays)
+        regions = {vm.region for vm in live}
+        for region in regions:
+            wanted.update(candidates(live, region)[:1])
+        wanted.discard(self._own.vm_id)
+        self.send(totals, [host_of(vm) for vm in live if vm.vm_id in wanted])
--- a/packages/daemon/src/baobabwharf_daemon/proxy/telling.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/telling.py
@@ -4,11 +4,14 @@
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.model import VmRecord
 
+from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.interfaces import LimitClient
 from baobabwharf_daemon.limits_parts import LimitsParts
 from baobabwharf_daemon.proxy.load_book import LoadBook
 from baobabwharf_daemon.proxy.load_exchange import LoadExchange
-from baobabwharf_daemon.proxy.metering import ConfigGetter, Metering
+from baobabwharf_daemon.proxy.metering import Metering
+from baobabwharf_daemon.proxy.relay_exchange import Member, RelayExchange
+from baobabwharf_daemon.proxy.relay_mode import ConfigGetter, RelayMode
 from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
 
@@ -27,15 +30,28 @@
     loads: LoadBook,
     parts: LimitsParts,
     config: ConfigGetter,
+    log: DecisionLog,
 ) -> Telling:
-    """Meter customers where a port for it is set, else lend tokens."""
+    """Meter customers where ports for it are set, else lend tokens."""
     ports = settings.listen
-    if ports.load_port is None or ports.meter_port is None:
+    if (
+        ports.load_port is None
+        or ports.meter_port is None
+        or ports.relay_port is None
+    ):
         return Telling(parts.lending, (parts.lending,))
-    if own.has_disk:
-        return Telling(parts.lending, ())
-    metering = Metering(own, ports.meter_port, clock, parts.peers, config)
+    mode = RelayMode(config)
     exchange = LoadExchange(
-        own, ports.load_port, loads, parts.peers, clock.wall_ms()
+        own, ports.load_port, loads, parts.peers, mode, clock.wall_ms()
+    )
+    if own.has_disk:
+        relay = RelayExchange(
+            own, ports.relay_port, clock, parts.peers, mode, None
+        )
+        return Telling(parts.lending, (exchange, relay))
+    metering = Metering(own, ports.meter_port, clock, parts.peers, config, mode)
+    member = Member(own, loads, metering, clock, log)
+    relay = RelayExchange(
+        own, ports.relay_port, clock, parts.peers, mode, member
     )
-    return Telling(metering, (metering, exchange))
+    return Telling(metering, (metering, exchange, relay))
--- a/packages/daemon/src/baobabwharf_daemon/proxy/vm_directory.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/vm_directory.py
@@ -4,6 +4,7 @@
 
 from baobabwharf_core.ids import RegionId
 from baobabwharf_core.model import VmRecord
+from baobabwharf_decisions.membership.serving import entry_vms
 
 MAX_ADDRESSES = 64
 _SCHEME_END = '://'
@@ -16,7 +17,7 @@
 
     A caller that connects to its own region keeps its request inside it.
     """
-    entries = [vm for vm in live if not vm.has_disk]
+    entries = entry_vms(live)
     near = [vm for vm in entries if vm.region == region]
     chosen = near or entries
     addresses = sorted(_address(vm) for vm in chosen)
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -37,6 +37,8 @@
     metrics_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
     # UDP; entry VMs tell each other there what customers have spent.
     meter_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
+    # UDP; VMs of a large fleet tell relays there what others tell directly.
+    relay_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
 
     @pydantic.field_validator('host')
     @classmethod
--- a/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
@@ -9,50 +9,67 @@
 lending scheme needs none but refuses more while VMs restart.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import final
 
-import msgspec
 from baobabwharf_core.ids import CustomerId, Incarnation, VmId
 from baobabwharf_core.model import Customer
 from expression import Error, Ok, Result
 
+from baobabwharf_decisions.limits.spending import (
+    Spending,
+    SpendingReader,
+    SpendingWindow,
+)
+
 # Several periods of telling; until then both sides of a cut spend the whole
 # rate, which the slack has to bear.
 SILENT_MS = 600
 # A VM is taken for silent after so many periods of telling.
 SILENT_PERIODS = 3
+# Members of a relay that stops need half of that to notice and the rest until
+# the next relay speaks for all; VMs that are cut off a relay itself notices.
+RELAYED_SILENT_PERIODS = 10
 # Nobody knows what was spent before a start of all VMs.
 _START_SHARE = 0.5
+# Over that time the spending of others is averaged to guess what they spend
+# until their next word.
+_GUESS_MS = 1000
 _MS_PER_S = 1000
 _MIN_RETRY_MS = 50
 
 
-class Spending(msgspec.Struct, frozen=True):
-    """Tell what a VM has spent since it started, by customer."""
-
-    vm_id: VmId
-    incarnation: Incarnation
-    sequence: int
-    tokens: dict[CustomerId, int]
-
-
 @final
 class _Bucket:
     def __init__(self, level: float, now_ms: int) -> None:
         self.level = level
         self.at_ms = now_ms
+        # What others spent of late, decaying.
+        self._others = 0.0
 
     def refill(self, rate_per_s: float, cap: float, now_ms: int) -> None:
-        gained = rate_per_s * (now_ms - self.at_ms) / _MS_PER_S
-        self.level = min(cap, self.level + gained)
+        passed_ms = now_ms - self.at_ms
+        self.level = min(cap, self.level + rate_per_s * passed_ms / _MS_PER_S)
         self.at_ms = now_ms
+        self._others *= math.exp(-passed_ms / _GUESS_MS)
+
+    def spend_elsewhere(self, tokens: float) -> None:
+        """Take out what others have spent."""
+        self.level -= tokens
+        self._others += tokens
+
+    def guess(self, unheard_ms: int) -> float:
+        """Return what others have likely spent since their last word."""
+        return max(0.0, self._others) * unheard_ms / _GUESS_MS
 
 
 @final
 class _Heard:
-    def __init__(self, told: Spending, now_ms: int) -> None:
-        self.told = told
+    """Remember when a VM spoke last, and for how many VMs."""
+
+    def __init__(self, vms: int, now_ms: int) -> None:
+        self.vms = vms
         self.at_ms = now_ms
 
 
@@ -66,10 +83,18 @@
         self._customers: Mapping[CustomerId, Customer] = {}
         self._vms: frozenset[VmId] = frozenset((own,))
         self._buckets: dict[CustomerId, _Bucket] = {}
-        self._spent: dict[CustomerId, int] = {}
-        self._sequence = 0
+        self._window = SpendingWindow()
+        self._reader = SpendingReader()
         self._silent_ms = SILENT_MS
         self._heard: dict[VmId, _Heard] = {}
+        # Whether relays speak for all other VMs.
+        self._relayed = False
+        self._heard_vms = 0
+
+    @property
+    def spent_nothing(self) -> bool:
+        """Tell whether the periods to tell hold nothing."""
+        return self._window.is_empty
 
     def configure(
         self, customers: Mapping[CustomerId, Customer], vms: Iterable[VmId]
@@ -83,21 +108,33 @@
 
     def tell_every(self, period_ms: int) -> None:
         """Learn how often VMs tell; more VMs tell less often."""
-        self._silent_ms = max(SILENT_MS, SILENT_PERIODS * period_ms)
+        periods = RELAYED_SILENT_PERIODS if self._relayed else SILENT_PERIODS
+        self._silent_ms = max(SILENT_MS, periods * period_ms)
 
     def hear(self, told: Spending, now_ms: int) -> None:
         """Take what another VM has spent since it told last."""
-        known = self._heard.get(told.vm_id)
-        if known is not None and _older(told, known.told):
-            return
-        before: Mapping[CustomerId, int] = {}
-        if known is not None and known.told.incarnation == told.incarnation:
-            before = known.told.tokens
-        for customer_id, tokens in told.tokens.items():
-            # The first word of a VM tells nothing of when it spent.
-            fresh = tokens - before.get(customer_id, 0) if known else 0
-            self._bucket(customer_id, now_ms).level -= fresh
-        self._heard[told.vm_id] = _Heard(told, now_ms)
+        if not self._relayed:
+            self._take_word(told, now_ms)
+
+    def hear_relay(self, told: Spending, now_ms: int) -> None:
+        """Take what all others have spent, as a relay tells.
+
+        From now on the words of single VMs are in its sums.
+        """
+        if not self._relayed:
+            self._relayed = True
+            self._heard.clear()
+        self._take_word(told, now_ms)
+
+    def drop_relay(self) -> None:
+        """Go back to the words of single VMs."""
+        if self._relayed:
+            self._relayed = False
+            self._heard.clear()
+
+    def newest_of(self, vm_id: VmId) -> int:
+        """Return the newest period that a VM has told."""
+        return self._reader.newest(vm_id)
 
     def take(
         self, customer_id: CustomerId, tokens: int, now_ms: int
@@ -106,16 +143,18 @@
         customer = self._customers.get(customer_id)
         if customer is None:
             return Ok(None)
+        self._notice_silence(now_ms)
         bucket = self._bucket(customer_id, now_ms)
         share = self._share(now_ms)
         # A request above the whole burst waits for a full bucket.
         needed = min(tokens, customer.burst_tokens * share)
-        if bucket.level < needed:
+        left = bucket.level - bucket.guess(self._unheard_ms(now_ms))
+        if left < needed:
             rate = customer.rate_tokens_per_s * share
-            wait_ms = (needed - bucket.level) * _MS_PER_S / rate
+            wait_ms = (needed - left) * _MS_PER_S / rate
             return Error(max(_MIN_RETRY_MS, int(wait_ms)))
         bucket.level -= tokens
-        self._spent[customer_id] = self._spent.get(customer_id, 0) + tokens
+        self._window.add(customer_id, tokens)
         return Ok(None)
 
     def give_back(self, customer_id: CustomerId, tokens: int) -> None:
@@ -123,7 +162,7 @@
         bucket = self._buckets.get(customer_id)
         if bucket is not None:
             bucket.level += tokens
-            self._spent[customer_id] -= tokens
+            self._window.add(customer_id, -tokens)
 
     def describe(self, customer_id: CustomerId, now_ms: int) -> str:
         """Return what a decision about a customer rests on."""
@@ -136,11 +175,34 @@
         )
 
     def report(self) -> Spending:
-        """Return what this VM has spent."""
-        self._sequence += 1
-        return Spending(
-            self._own, self._incarnation, self._sequence, dict(self._spent)
-        )
+        """Close the running period and return what this VM has spent."""
+        self._window.close()
+        return Spending(self._own, self._incarnation, self._window.periods)
+
+    def _take_word(self, told: Spending, now_ms: int) -> None:
+        fresh = self._reader.fresh(told)
+        if fresh is None:
+            return
+        for customer_id, tokens in fresh.items():
+            self._bucket(customer_id, now_ms).spend_elsewhere(tokens)
+        self._heard[told.vm_id] = _Heard(told.vms, now_ms)
+
+    def _notice_silence(self, now_ms: int) -> None:
+        """Charge the share of VMs for the time in which they went silent."""
+        heard_vms = self._count_heard(now_ms)
+        self._heard = {
+            vm_id: heard
+            for vm_id, heard in self._heard.items()
+            if now_ms - heard.at_ms <= self._silent_ms
+        }
+        silent = max(0, self._heard_vms - heard_vms)
+        self._heard_vms = heard_vms
+        if not silent:
+            return
+        part = silent / len(self._vms) * self._silent_ms / _MS_PER_S
+        for customer_id, bucket in self._buckets.items():
+            rate = self._customers[customer_id].rate_tokens_per_s
+            bucket.level -= rate * part
 
     def _bucket(self, customer_id: CustomerId, now_ms: int) -> _Bucket:
         customer = self._customers.get(customer_id)
@@ -154,16 +216,22 @@
         bucket.refill(rate * share, burst * share, now_ms)
         return bucket
 
+    def _unheard_ms(self, now_ms: int) -> int:
+        """Return how long no other VM has told anything."""
+        newest_ms = max((one.at_ms for one in self._heard.values()), default=0)
+        return min(self._silent_ms, now_ms - newest_ms)
+
     def _share(self, now_ms: int) -> float:
         """Return the part of the cap that the VMs heard may spend."""
-        heard = [
-            vm_id
-            for vm_id, heard in self._heard.items()
-            if vm_id in self._vms and now_ms - heard.at_ms <= self._silent_ms
-        ]
-        return (len(heard) + 1) / len(self._vms)
+        return min(1.0, (self._count_heard(now_ms) + 1) / len(self._vms))
 
-
-def _older(told: Spending, known: Spending) -> bool:
-    order = (told.incarnation, told.sequence)
-    return order <= (known.incarnation, known.sequence)
+    def _count_heard(self, now_ms: int) -> int:
+        recent = {
+            vm_id: heard.vms
+            for vm_id, heard in self._heard.items()
+            if now_ms - heard.at_ms <= self._silent_ms
+        }
+        if self._relayed:
+            # After a change of relay both speak for the same VMs.
+            return max(recent.values(), default=0)
+        return sum(vm_id in self._vms for vm_id in recent)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/spending.py
@@ -0,0 +1,97 @@
+"""Tell what was spent in the last few periods.
+
+Load pattern: thousands of customers spend over a day, a few of them in any
+moment.  A message names only what was spent in its last periods, so its size
+follows the traffic and not the number of customers.  A period is told several
+times, so a lost datagram loses nothing.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import CustomerId, Incarnation, VmId
+
+# How often a period is told; as many datagrams in a row may get lost.
+TOLD_PERIODS = 4
+
+
+class Period(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what was spent in one period; returned tokens are negative."""
+
+    number: int
+    tokens: dict[CustomerId, int]
+
+
+class Spending(msgspec.Struct, frozen=True):
+    """Tell the last periods of one VM, or of several that one speaks for."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    periods: tuple[Period, ...]
+    vms: int = 1
+
+
+@final
+class SpendingWindow:
+    """Collect what is spent, period by period."""
+
+    def __init__(self) -> None:
+        self._open: dict[CustomerId, int] = {}
+        self._number = 0
+        self._closed: deque[Period] = deque(maxlen=TOLD_PERIODS)
+
+    @property
+    def periods(self) -> tuple[Period, ...]:
+        """Return the closed periods, the oldest first."""
+        return tuple(self._closed)
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether nothing was spent in the closed periods."""
+        return not any(period.tokens for period in self._closed)
+
+    def add(self, customer_id: CustomerId, tokens: int) -> None:
+        """Count tokens in the open period."""
+        self._open[customer_id] = self._open.get(customer_id, 0) + tokens
+
+    def close(self) -> None:
+        """Begin the next period."""
+        self._number += 1
+        self._closed.append(Period(self._number, self._open))
+        self._open = {}
+
+
+@final
+class SpendingReader:
+    """Take each period of other VMs once."""
+
+    def __init__(self) -> None:
+        self._newest: dict[VmId, tuple[Incarnation, int]] = {}
+
+    def newest(self, vm_id: VmId) -> int:
+        """Return the newest period taken of a VM, 0 for none."""
+        return self._newest.get(vm_id, (Incarnation(0), 0))[1]
+
+    def fresh(self, told: Spending) -> dict[CustomerId, int] | None:
+        """Return what was not known yet, None if nothing in it is new."""
+        known = self._newest.get(told.vm_id, (Incarnation(0), 0))
+        seen = known[1] if known[0] == told.incarnation else 0
+        last = told.periods[-1].number if told.periods else 0
+        if told.incarnation < known[0] or last <= seen:
+            return None
+        self._newest[told.vm_id] = (told.incarnation, last)
+        return _sum_of(one for one in told.periods if one.number > seen)
+
+    def forget(self, vm_id: VmId) -> None:
+        """Drop a VM that is gone."""
+        self._newest.pop(vm_id, None)
+
+
+def _sum_of(periods: Iterable[Period]) -> dict[CustomerId, int]:
+    total: dict[CustomerId, int] = {}
+    for period in periods:
+        for customer_id, tokens in period.tokens.items():
+            total[customer_id] = total.get(customer_id, 0) + tokens
+    return total
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/limits/spending_relay.py
@@ -0,0 +1,146 @@
+"""Sum the spending of many VMs, so that each one hears one message.
+
+Load pattern: a hot customer sends to all of a hundred VMs or more.  Told by
+each VM to each other one, its spending would cost more messages than the
+requests.  The VMs of a region tell a relay; relays tell each other the sums
+of their members, and each member hears the sum of all others.
+"""
+
+from collections import deque
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import CustomerId, Incarnation, VmId
+
+from baobabwharf_decisions.limits.spending import (
+    TOLD_PERIODS,
+    Period,
+    Spending,
+    SpendingReader,
+    SpendingWindow,
+)
+
+# A member or relay that is silent for so long is not spoken for any more: the
+# time in which meters themselves take a VM for silent.
+SILENT_MS = 600
+
+Tokens = dict[CustomerId, int]
+
+
+class _Closed(msgspec.Struct, frozen=True):
+    number: int
+    total: Tokens
+    by_member: dict[VmId, Tokens]
+
+
+class _Heard(msgspec.Struct, frozen=True):
+    at_ms: int
+    vms: int
+
+
+@final
+class SpendingRelay:
+    """Add up on one VM; times are monotonic ms."""
+
+    def __init__(self, own: VmId, incarnation: Incarnation) -> None:
+        self._own = own
+        self._incarnation = incarnation
+        self._reader = SpendingReader()
+        self._of_members = SpendingWindow()
+        self._total: Tokens = {}
+        self._by_member: dict[VmId, Tokens] = {}
+        self._closed: deque[_Closed] = deque(maxlen=TOLD_PERIODS)
+        self._number = 0
+        self._members: dict[VmId, _Heard] = {}
+        self._relays: dict[VmId, _Heard] = {}
+
+    @property
+    def has_members(self) -> bool:
+        """Tell whether any VM relies on this relay."""
+        return bool(self._members)
+
+    @property
+    def relays(self) -> tuple[VmId, ...]:
+        """Return the relays heard."""
+        return tuple(self._relays)
+
+    def hear_member(self, told: Spending, now_ms: int) -> None:
+        """Take what a VM has spent."""
+        self._members[told.vm_id] = _Heard(now_ms, 1)
+        fresh = self._reader.fresh(told) or {}
+        if fresh:
+            own = self._by_member.setdefault(told.vm_id, {})
+            _add(own, fresh)
+            _add(self._total, fresh)
+        for customer_id, tokens in fresh.items():
+            self._of_members.add(customer_id, tokens)
+
+    def hear_relay(self, told: Spending, now_ms: int) -> None:
+        """Take what the members of another relay have spent."""
+        if told.vm_id != self._own:
+            self._relays[told.vm_id] = _Heard(now_ms, told.vms)
+            _add(self._total, self._reader.fresh(told) or {})
+
+    def close(self, now_ms: int) -> Spending:
+        """Begin the next period; return what to tell other relays."""
+        self._members = self._without_silent(self._members, now_ms)
+        self._relays = self._without_silent(self._relays, now_ms)
+        self._number += 1
+        closed = _Closed(self._number, self._total, self._by_member)
+        self._closed.append(closed)
+        self._total = {}
+        self._by_member = {}
+        self._of_members.close()
+        return Spending(
+            self._own,
+            self._incarnation,
+            self._of_members.periods,
+            len(self._members),
+        )
+
+    def answer(self, member: VmId, seen: int) -> Spending:
+        """Return what all others spent in the periods after the one seen.
+
+        A member that has seen no period hears only of the newest one.
+        """
+        after = seen if 0 < seen <= self._number else self._number - 1
+        others = sum(one.vms for one in self._relays.values())
+        return Spending(
+            self._own,
+            self._incarnation,
+            tuple(
+                Period(closed.number, _without(closed, member))
+                for closed in self._closed
+                if closed.number > after
+            ),
+            max(0, len(self._members) - 1) + others,
+        )
+
+    def _without_silent(
+        self, heard: dict[VmId, _Heard], now_ms: int
+    ) -> dict[VmId, _Heard]:
+        kept: dict[VmId, _Heard] = {}
+        for vm_id, one in heard.items():
+            if now_ms - one.at_ms <= SILENT_MS:
+                kept[vm_id] = one
+            else:
+                self._reader.forget(vm_id)
+        return kept
+
+
+def _add(total: Tokens, fresh: Tokens) -> None:
+    for customer_id, tokens in fresh.items():
+        total[customer_id] = total.get(customer_id, 0) + tokens
+
+
+def _without(closed: _Closed, member: VmId) -> Tokens:
+    own = closed.by_member.get(member)
+    if not own:
+        return closed.total
+    left = {
+        customer_id: tokens - own.get(customer_id, 0)
+        for customer_id, tokens in closed.total.items()
+    }
+    return {
+        customer_id: tokens for customer_id, tokens in left.items() if tokens
+    }
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/membership/serving.py
@@ -0,0 +1,33 @@
+"""Tell which VMs pass requests to the endpoints of a region.
+
+Load pattern: a rolling restart or a fault takes all entry VMs of a small
+region while its endpoints are sound.  Endpoints accept connections only from
+VMs of their region, so its disk VMs serve requests that other regions
+forward until an entry VM is back.
+"""
+
+from collections.abc import Iterable
+
+from baobabwharf_core.ids import RegionId
+from baobabwharf_core.model import VmRecord
+
+
+def entry_vms(live: Iterable[VmRecord]) -> list[VmRecord]:
+    """Return the VMs to which callers connect."""
+    return [vm for vm in live if not vm.has_disk]
+
+
+def proxies_of(live: Iterable[VmRecord], region: RegionId) -> list[VmRecord]:
+    """Return the entry VMs of a region, its disk VMs if it has none."""
+    near = [vm for vm in live if vm.region == region]
+    return entry_vms(near) or near
+
+
+def proxies_by_region(
+    live: Iterable[VmRecord],
+) -> dict[RegionId, list[VmRecord]]:
+    """Return the proxies of each region."""
+    vms: dict[RegionId, list[VmRecord]] = {}
+    for vm in live:
+        vms.setdefault(vm.region, []).append(vm)
+    return {region: entry_vms(near) or near for region, near in vms.items()}
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -23,7 +23,7 @@
     slots: int
 
 
-class LoadShare(msgspec.Struct, frozen=True):
+class LoadShare(msgspec.Struct, frozen=True, array_like=True):
     """Tell other VMs of the region what this VM has at an endpoint."""
 
     running: int
@@ -99,6 +99,10 @@
         known.reading.put(share.recent_tokens, now_ms)
         known.heard_ms = now_ms
 
+    def drop_share(self, vm_id: VmId) -> None:
+        """Note that another VM has nothing running here."""
+        self.others.pop(vm_id, None)
+
     def told_age_ms(self, now_ms: int) -> int | None:
         """Return how old the oldest share of another VM is."""
         heard = [other.heard_ms for other in self.others.values()]
