Bound prompts by the pause that streams of an engine may make

Cause: an engine that always has prompts to read makes one token between two chunks of 4,096 prompt tokens, some 44 ms apart.

Change: where the pause is shorter than ten such steps (from the routes' pause targets and the engines' tokens per event), the prompt tokens sent to an engine by all VMs over a decaying 400 ms are bounded; what is beyond goes to another engine or region or is refused. The emulator measures pauses.

The engines' memory now comes from the deployment instead of a guess of 500,000 tokens.

--- a/features/steps/worst_load.py
+++ b/features/steps/worst_load.py
@@ -1,9 +1,13 @@
 """Replay peaks on emulated engines by the product's choice and a baseline."""
 
 from baobabwharf_testkit.engine_emulator import (
+    CHUNKY_DRAFT,
+    CHUNKY_QUESTION,
     DRAFT,
     QUESTION,
+    SLOTS,
     Emulation,
+    Kind,
     accept_all,
     product_choice,
 )
@@ -18,14 +22,21 @@
 class PeakSubject:
     """Hold the outcomes of both policies under the same load."""
 
-    def __init__(self, engines: int, factor: float, seed: int) -> None:
+    def __init__(
+        self,
+        engines: int,
+        factor: float,
+        seed: int,
+        kinds: tuple[Kind, Kind] = (DRAFT, QUESTION),
+        slots: int = SLOTS,
+    ) -> None:
         self.runs = {}
         for name, choose in (
             ('product', product_choice),
             ('baseline', accept_all),
         ):
-            emulation = Emulation(seed, engines, choose)
-            emulation.run([DRAFT, QUESTION], factor, _LENGTH_MS)
+            emulation = Emulation(seed, engines, choose, slots)
+            emulation.run(list(kinds), factor, _LENGTH_MS)
             self.runs[name] = emulation
 
     def outcome(self, run: str, kind: str):
@@ -87,3 +98,20 @@
         for name in ('product', 'baseline')
     )
     assert product < baseline, (product, baseline)
+
+
+@given(
+    '{engines:d} engines with {slots:d} slots and large events at {factor:g} times the load, seed {seed:d}'
+)
+def large_events(
+    context: Context, engines: int, slots: int, factor: float, seed: int
+) -> None:
+    kinds = (CHUNKY_DRAFT, CHUNKY_QUESTION)
+    context.peak = PeakSubject(engines, factor, seed, kinds, slots)
+
+
+@then('at most {most:d} in 100 of the accepted streams pause too long')
+def rarely_paused(context: Context, most: int) -> None:
+    found = [context.peak.outcome('product', kind) for kind in _WORTH]
+    accepted = sum(one.asked - one.refused for one in found)
+    assert sum(one.paused for one in found) * 100 <= accepted * most, found
--- a/features/unit/worst_load.feature
+++ b/features/unit/worst_load.feature
@@ -1,6 +1,6 @@
 Feature: Placement at the worst load
   Guards against engines that read so many prompts that long answers miss
-  their deadline, against sessions that are read again at every engine, and
+  their deadline or pause too long, against sessions that are read again at every engine, and
   against less urgent work that takes the place of urgent work.
 
   Scenario Outline: A region's peak of <factor> times the load
@@ -22,3 +22,14 @@
   Scenario: Sessions stay with the engine that has read them
     Given 3 emulated engines and a peak of 1.2 times the load, seed 5
     Then the product reads fewer prompt tokens a draft than accepting all
+
+  Scenario Outline: Prompts do not hold up streams of large events at <factor> times the load
+    Given 3 engines with 32 slots and large events at <factor> times the load, seed <seed>
+    Then at most 5 in 100 of the accepted streams pause too long
+    And the product earns at least <gain> in 100 more than accepting all
+
+    Examples:
+      | factor | seed | gain |
+      | 0.8    | 21   | 5    |
+      | 1.0    | 22   | 5    |
+      | 1.3    | 23   | 5    |
--- a/packages/core/src/baobabwharf_core/deployment.py
+++ b/packages/core/src/baobabwharf_core/deployment.py
@@ -59,10 +59,14 @@
 
 
 class EngineSpec(msgspec.Struct, frozen=True):
-    """State batch slots and cache memory of the engines of a service."""
+    """State batch slots and cache memory of the engines of a service.
+
+    tokens_per_event is what one event of a stream holds, 0 if unknown.
+    """
 
     slots: int
     cache_tokens: int
+    tokens_per_event: int = 0
 
 
 class DeployedService(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -249,6 +249,7 @@
         if known is not None and known.deployment == deployment:
             return
         self._table = RouteTable(deployment)
+        self._placer.configure(self._table)
         REVISION.set({}, config.revision)
         self._log.record(
             'deployment_in_force',
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
@@ -1,10 +1,11 @@
 """Keep the loads of endpoints as the VMs of this region see them."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import final
 
 from baobabwharf_core.clock import Clock
-from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_core.deployment import DeployedService
+from baobabwharf_core.ids import EndpointId, ServiceId, VmId
 from baobabwharf_decisions.proxying.endpoint_book import (
     EndpointBook,
     EndpointRecord,
@@ -14,9 +15,11 @@
     LoadShare,
 )
 
-# A guess at an engine's memory, below that of the engines in use; see issue 10.
-_CACHE_TOKENS = 500_000
-_NOTHING = LoadShare(0, 0, 0)
+# Part of an engine's memory that generated tokens leave to prompts.
+_PROMPT_SHARE = 0.85
+# Until the deployment is known no request is placed.
+_UNKNOWN_TOKENS = 0
+_NOTHING = LoadShare(0, 0, 0, 0)
 
 
 @final
@@ -26,13 +29,29 @@
     def __init__(self, clock: Clock, book: EndpointBook) -> None:
         self._clock = clock
         self._book = book
+        self._cache_tokens: dict[ServiceId, int] = {}
         self._loads: dict[EndpointId, tuple[int, EndpointLoad]] = {}
 
+    def size_caches(self, services: Iterable[DeployedService]) -> None:
+        """Follow the memory of the engines."""
+        self._cache_tokens = {
+            service.name: int(service.engine.cache_tokens * _PROMPT_SHARE)
+            for service in services
+            if service.engine is not None
+        }
+        for endpoint_id, (_incarnation, load) in self._loads.items():
+            entry = self._book.entries.get(endpoint_id)
+            if entry is not None:
+                load.cache.resize(self._cache_size(entry.record))
+
     def load(self, record: EndpointRecord) -> EndpointLoad:
         """Return the load of an endpoint; a new incarnation starts anew."""
         known = self._loads.get(record.endpoint_id)
         if known is None or known[0] != record.incarnation:
-            known = (record.incarnation, EndpointLoad(_CACHE_TOKENS))
+            known = (
+                record.incarnation,
+                EndpointLoad(self._cache_size(record)),
+            )
             self._loads[record.endpoint_id] = known
         return known[1]
 
@@ -65,6 +84,9 @@
             if entry is not None:
                 self.load(entry.record).note_share(vm_id, share, now_ms)
 
+    def _cache_size(self, record: EndpointRecord) -> int:
+        return self._cache_tokens.get(record.service, _UNKNOWN_TOKENS)
+
     def forget_silent(self, silent_ms: int) -> None:
         """Drop shares of silent VMs and loads of endpoints that are gone."""
         now_ms = self._clock.now_ms()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/placer.py
@@ -32,7 +32,9 @@
     home_region,
     offers_of,
 )
+from baobabwharf_decisions.proxying.routes import RouteTable
 from baobabwharf_decisions.proxying.slot_queue import SlotQueue
+from baobabwharf_decisions.proxying.stream_pace import MEMORY_MS, burst_bound
 from expression import Error, Ok, Result
 
 from baobabwharf_daemon.interfaces import MembershipView
@@ -159,9 +161,22 @@
         self._backlog = Backlog()
         self._queue = SlotQueue()
         self._evacuated: frozenset[ZoneId] = frozenset()
+        self._burst_bounds: dict[ServiceId, float | None] = {}
         self.loads = LoadBook(clock, book)
         self.regions = RegionChoice(own, clock, members, generator)
 
+    def configure(self, table: RouteTable) -> None:
+        """Follow the engines and streams of the deployment."""
+        services = table.deployment.services
+        self.loads.size_caches(services)
+        self._burst_bounds = {
+            service.name: burst_bound(
+                table.pause_ms(service.name), service.engine.tokens_per_event
+            )
+            for service in services
+            if service.engine is not None
+        }
+
     def evacuate(self, zones: Iterable[ZoneId], cold_ms: int) -> None:
         """Follow the evacuated zones; those taken back count as cold."""
         wanted = frozenset(zones)
@@ -275,6 +290,7 @@
             plan.target_ms - now_ms,
             URGENT_SHARE if urgent else LESS_URGENT_SHARE,
             now_ms,
+            self._burst_bounds.get(service.name),
         )
         return self._backlog.choose(candidates, need)
 
@@ -283,13 +299,15 @@
     if candidates:
         unread = min(one.load.total_unread for one in candidates)
         recent = min(one.load.recent_tokens(now_ms) for one in candidates)
+        burst = min(one.load.burst_tokens(now_ms) for one in candidates)
         running = min(one.load.total_running for one in candidates)
         return Refusal(
             RefusalCode.QUEUE_FULL,
             retry_after_ms=_RETRY_AFTER_MS,
             detail=(
                 f'{len(candidates)} endpoints; at least {unread} unread and '
-                f'{recent:.0f} recent tokens, {running} running; '
+                f'{recent:.0f} recent tokens, {burst:.0f} in the last '
+                f'{MEMORY_MS} ms, {running} running; '
                 f'{plan.target_ms - now_ms} ms to the target'
             ),
         )
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -5,6 +5,7 @@
 import msgspec
 from baobabwharf_core.ids import VmId
 
+from baobabwharf_decisions.proxying import stream_pace
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptCache
 from baobabwharf_decisions.proxying.reading_rate import ReadingRate
 
@@ -29,6 +30,7 @@
     running: int
     unread_tokens: int
     recent_tokens: int
+    burst_tokens: int
 
 
 @final
@@ -39,6 +41,7 @@
         self.running = 0
         self.unread_tokens = 0
         self.reading = ReadingRate()
+        self.burst = ReadingRate(stream_pace.MEMORY_MS)
         self.heard_ms = 0
 
 
@@ -53,6 +56,7 @@
         self.sample: LoadSample | None = None
         self.sampled_ms = 0
         self.reading = ReadingRate()
+        self.burst = ReadingRate(stream_pace.MEMORY_MS)
         # What other VMs of the region have there, as they told last.
         self.others: dict[VmId, SharedLoad] = {}
         self.failure_share = 0.0
@@ -83,12 +87,20 @@
         )
         return self.reading.recent(now_ms) + others
 
+    def burst_tokens(self, now_ms: int) -> float:
+        """Return the same over about one pause of a stream."""
+        others = sum(
+            other.burst.recent(now_ms) for other in self.others.values()
+        )
+        return self.burst.recent(now_ms) + others
+
     def share(self, now_ms: int) -> 'LoadShare':
         """Return what other VMs need to know of the own requests."""
         return LoadShare(
             self.running,
             self.unread_tokens,
             int(self.reading.recent(now_ms)),
+            int(self.burst.recent(now_ms)),
         )
 
     def note_share(self, vm_id: VmId, share: 'LoadShare', now_ms: int) -> None:
@@ -97,6 +109,7 @@
         known.running = share.running
         known.unread_tokens = share.unread_tokens
         known.reading.put(share.recent_tokens, now_ms)
+        known.burst.put(share.burst_tokens, now_ms)
         known.heard_ms = now_ms
 
     def drop_share(self, vm_id: VmId) -> None:
@@ -121,6 +134,7 @@
         unread = self.cache.unread_tokens(prompt)
         self.cache.note_read(prompt)
         self.reading.add(unread, now_ms)
+        self.burst.add(unread, now_ms)
         self.running += 1
         self.unread_tokens += unread
         return unread
--- a/packages/decisions/src/baobabwharf_decisions/proxying/load_relay.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/load_relay.py
@@ -13,7 +13,7 @@
 
 from baobabwharf_decisions.proxying.endpoint_load import LoadShare
 
-_NOTHING = LoadShare(0, 0, 0)
+_NOTHING = LoadShare(0, 0, 0, 0)
 
 
 @final
@@ -74,6 +74,7 @@
         one.running + other.running,
         one.unread_tokens + other.unread_tokens,
         one.recent_tokens + other.recent_tokens,
+        one.burst_tokens + other.burst_tokens,
     )
 
 
@@ -82,4 +83,5 @@
         one.running - other.running,
         one.unread_tokens - other.unread_tokens,
         one.recent_tokens - other.recent_tokens,
+        one.burst_tokens - other.burst_tokens,
     )
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -60,6 +60,8 @@
     target_left_ms: int
     share: float
     now_ms: int
+    # Prompt tokens that an engine may get within a pause of its streams.
+    burst_bound: float | None = None
 
 
 @final
@@ -110,7 +112,16 @@
     ahead = candidate.load.total_unread
     if candidate.load.recent_tokens(need.now_ms) > _MAX_RECENT * need.share:
         return False
+    if _pauses_streams(candidate, need, own):
+        return False
     if ahead <= 0:
         # An idle engine serves what is late even at best.
         return True
     return ahead + own <= bound and ahead <= bound * need.share
+
+
+def _pauses_streams(candidate: Candidate, need: PromptNeed, own: int) -> bool:
+    if need.burst_bound is None or candidate.load.total_running == 0:
+        return False
+    burst = candidate.load.burst_tokens(need.now_ms)
+    return burst + own > need.burst_bound * need.share
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_cache.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_cache.py
@@ -25,6 +25,10 @@
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._held = 0
 
+    def resize(self, capacity_tokens: int) -> None:
+        """Take another size; what is too much yields with the next prompt."""
+        self._capacity = capacity_tokens
+
     def unread_tokens(self, prompt: Prompt) -> int:
         """Return the tokens after the longest cached beginning."""
         for place, part in enumerate(prompt):
--- a/packages/decisions/src/baobabwharf_decisions/proxying/reading_rate.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/reading_rate.py
@@ -16,7 +16,8 @@
 class ReadingRate:
     """Hold a decaying sum of the prompt tokens that were sent."""
 
-    def __init__(self) -> None:
+    def __init__(self, memory_ms: int = MEMORY_MS) -> None:
+        self._memory_ms = memory_ms
         self._tokens = 0.0
         self._at_ms = 0
 
@@ -34,4 +35,4 @@
         """Return the decayed sum of tokens."""
         if not self._tokens:
             return 0.0
-        return self._tokens * math.exp((self._at_ms - now_ms) / MEMORY_MS)
+        return self._tokens * math.exp((self._at_ms - now_ms) / self._memory_ms)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
@@ -44,6 +44,18 @@
             service.name: service for service in deployment.services
         }
 
+    def pause_ms(self, name: ServiceId) -> int | None:
+        """Return the shortest pause that streams of a service accept."""
+        return min(
+            (
+                route.pause_target_ms
+                for route in self.deployment.routes
+                if route.pause_target_ms is not None
+                and any(share.service == name for share in route.shares)
+            ),
+            default=None,
+        )
+
     def find(self, host: str, path: str) -> Result[DeployedRoute, Refusal]:
         """Return the route with the longest prefix of the path."""
         for route in self._hosts.get(host.lower(), ()):
--- a/packages/testkit/src/baobabwharf_testkit/engine_emulator.py
+++ b/packages/testkit/src/baobabwharf_testkit/engine_emulator.py
@@ -9,7 +9,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import final
 
 from baobabwharf_core.ids import EndpointId
@@ -22,6 +22,7 @@
     PromptNeed,
 )
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptPart
+from baobabwharf_decisions.proxying.stream_pace import burst_bound
 
 STEP_MS = 2.97
 STEP_MS_PER_REQUEST = 0.0222
@@ -44,10 +45,17 @@
     deadline_ms: int
     urgency: int
     sessions: int
+    # Tokens in an event of the stream, and the longest pause between events
+    # for which an answer is on time.
+    stride: int = 8
+    gap_ms: int = 600
 
 
 DRAFT = Kind('draft', 12.0, 5382, 6610, 384, 800, 12_000, 1, 104)
 QUESTION = Kind('question', 55.0, 568, 1800, 23, 600, 3000, 0, 458)
+# The same where events hold more tokens and may pause less.
+CHUNKY_DRAFT = replace(DRAFT, output_tokens=380, stride=10, gap_ms=400)
+CHUNKY_QUESTION = replace(QUESTION, stride=10, gap_ms=400)
 
 
 @dataclass
@@ -60,7 +68,8 @@
     unread: int = 0
     made: int = 0
     first_ms: float | None = None
-    counted: bool = True
+    event_ms: float = 0.0
+    longest_gap_ms: float = 0.0
 
 
 @dataclass
@@ -70,6 +79,7 @@
     load: EndpointLoad = field(
         default_factory=lambda: EndpointLoad(CACHE_TOKENS)
     )
+    slots: int = SLOTS
     now_ms: float = 0.0
     waiting: list[tuple[int, int, Job]] = field(default_factory=list)
     running: list[Job] = field(default_factory=list)
@@ -102,7 +112,7 @@
 
     def _read_chunk(self) -> int:
         room = CHUNK_TOKENS
-        while room and self.waiting and len(self.running) < SLOTS:
+        while room and self.waiting and len(self.running) < self.slots:
             job = self.waiting[0][2]
             part = min(room, job.unread - job.made)
             job.made += part
@@ -119,6 +129,11 @@
         job.made += 1
         if job.first_ms is None:
             job.first_ms = self.now_ms
+            job.event_ms = self.now_ms
+        if job.made % job.kind.stride == 0:
+            gap_ms = self.now_ms - job.event_ms
+            job.longest_gap_ms = max(job.longest_gap_ms, gap_ms)
+            job.event_ms = self.now_ms
         late = self.now_ms - job.arrived_ms > job.kind.deadline_ms
         if late or job.made >= job.kind.output_tokens:
             self.running.remove(job)
@@ -135,6 +150,8 @@
     in_time: int = 0
     late: int = 0
     cut: int = 0
+    # Those of the late ones that began in time.
+    paused: int = 0
 
 
 Chooser = Callable[[list[Candidate], PromptNeed], Candidate | None]
@@ -158,11 +175,15 @@
 class Emulation:
     """Send a load to some engines by a policy."""
 
-    def __init__(self, seed: int, engines: int, choose: Chooser) -> None:
+    def __init__(
+        self, seed: int, engines: int, choose: Chooser, slots: int = SLOTS
+    ) -> None:
         self._random = random.Random(seed)
+        self._slots = slots
         self._choose = choose
         self._engines = {
-            EndpointId(f'e{number}'): Engine() for number in range(engines)
+            EndpointId(f'e{number}'): Engine(slots=slots)
+            for number in range(engines)
         }
         self.outcomes: dict[str, Outcome] = {}
 
@@ -210,9 +231,10 @@
             kind.target_ms,
             URGENT_SHARE if kind.urgency == 0 else LESS_URGENT_SHARE,
             int(at_ms),
+            burst_bound(kind.gap_ms, kind.stride),
         )
         candidates = [
-            Candidate(name, one.load, SLOTS)
+            Candidate(name, one.load, self._slots)
             for name, one in self._engines.items()
         ]
         chosen = self._choose(candidates, need)
@@ -234,7 +256,10 @@
         first_ms = job.first_ms or ended_ms
         if took_ms > job.kind.deadline_ms:
             outcome.cut += 1
-        elif first_ms - job.arrived_ms <= job.kind.target_ms:
-            outcome.in_time += 1
-        else:
+        elif first_ms - job.arrived_ms > job.kind.target_ms:
+            outcome.late += 1
+        elif job.longest_gap_ms > job.kind.gap_ms:
             outcome.late += 1
+            outcome.paused += 1
+        else:
+            outcome.in_time += 1
