--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 PACKAGES := core decisions daemon cli testkit
-SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform/src
+SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform/src $(CURDIR)/platform/soak
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(SOURCES))
@@ -21,7 +21,7 @@
 	$(VENV)/bin/ruff format --check packages platform features
 	$(VENV)/bin/ruff check packages platform features
 	$(VENV)/bin/flake8 packages platform features
-	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),packages/$(p)/src) platform/src
+	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),packages/$(p)/src) platform/src platform/soak
 
 demo: venv
 	$(VENV)/bin/python -m baobabwharf_testkit.demo $(if $(KEEP),--keep)
--- a/features/functional/platform_fleet.feature
+++ b/features/functional/platform_fleet.feature
@@ -33,3 +33,10 @@
     And an operator sends configuration 8 to the second disk VM
     And the second disk VM is killed for good
     Then the other disk VMs read configuration 8 back as it was sent
+
+  Scenario: A reload during the start does not end a VM
+    Given a platform fleet of 3 disk VMs and 2 entry VMs, ports seed 4
+    When the first entry VM is killed and reloads while it starts again
+    And an operator sends configuration 7 to the second disk VM
+    And an endpoint registers at the third disk VM
+    Then a request through each entry VM is run by the endpoint
--- a/features/steps/platform_fleet.py
+++ b/features/steps/platform_fleet.py
@@ -418,3 +418,14 @@
     _read_back(fleet, fleet.disks[0])
     fleet.run(asyncio.sleep(3))
     fleet.kill(fleet.disks[1])
+
+
+@when('the first entry VM is killed and reloads while it starts again')
+def reloads_early(context: Context) -> None:
+    fleet = context.fleet
+    host = fleet.entries[0]
+    fleet.kill(host)
+    fleet.start(host, bootstrap=False)
+    # The imports of the program take longer, the interpreter's start less.
+    fleet.run(asyncio.sleep(0.15))
+    fleet.processes[host].send_signal(signal.SIGHUP)
--- a/features/steps/proxying.py
+++ b/features/steps/proxying.py
@@ -340,6 +340,8 @@
 @given('{count:d} VMs that repeat whatever fails')
 def repeating_vms(context: Context, count: int) -> None:
     context.shares = [RetryShare() for _vm in range(count)]
+    for share in context.shares:
+        share.follow(count)
 
 
 @then('of {count:d} failing requests at most {most:d} in 100 are repeated')
--- a/features/steps/worst_load.py
+++ b/features/steps/worst_load.py
@@ -1,6 +1,16 @@
 """Replay peaks on emulated engines by the product's choice and a baseline."""
 
+from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
+from baobabwharf_decisions.proxying.prompt_backlog import (
+    LESS_URGENT_SHARE,
+    Backlog,
+    Candidate,
+    PromptNeed,
+)
+from baobabwharf_decisions.proxying.prompt_cache import PromptPart
+from baobabwharf_decisions.proxying.stream_pace import burst_bound
 from baobabwharf_testkit.engine_emulator import (
+    CACHE_TOKENS,
     CHUNKY_DRAFT,
     CHUNKY_QUESTION,
     DRAFT,
@@ -115,3 +125,38 @@
     found = [context.peak.outcome('product', kind) for kind in _WORTH]
     accepted = sum(one.asked - one.refused for one in found)
     assert sum(one.paused for one in found) * 100 <= accepted * most, found
+
+
+class LongPromptSubject:
+    """Offer a very long prompt to a busy engine."""
+
+    def __init__(self, recent_tokens: int) -> None:
+        load = EndpointLoad(CACHE_TOKENS)
+        load.running = 1
+        load.burst.add(recent_tokens, 0)
+        self.engine = Candidate('e', load, SLOTS)
+
+    def takes(self, tokens: int) -> bool:
+        need = PromptNeed(
+            (PromptPart('long', tokens),),
+            target_left_ms=800,
+            share=LESS_URGENT_SHARE,
+            now_ms=0,
+            burst_bound=burst_bound(400, 10),
+        )
+        return Backlog().choose([self.engine], need) is not None
+
+
+@given('an engine with a running stream that was just sent {tokens:d} tokens')
+def busy_engine(context: Context, tokens: int) -> None:
+    context.busy = LongPromptSubject(tokens)
+
+
+@then('it takes a prompt of {tokens:d} tokens')
+def takes_prompt(context: Context, tokens: int) -> None:
+    assert context.busy.takes(tokens)
+
+
+@then('it takes no prompt of {tokens:d} tokens')
+def takes_no_prompt(context: Context, tokens: int) -> None:
+    assert not context.busy.takes(tokens)
--- a/features/unit/proxying.feature
+++ b/features/unit/proxying.feature
@@ -78,9 +78,14 @@
     Then in 10 s no window of 1 s holds more than 5 requests of all VMs
     And in 10 s the endpoint gets at least 20 requests
 
-  Scenario: Repeats of all VMs together stay a share of the requests
-    Given 9 VMs that repeat whatever fails
-    Then of 5000 failing requests at most 12 in 100 are repeated
+  Scenario Outline: Repeats of <vms> VMs together stay a share of the requests
+    Given <vms> VMs that repeat whatever fails
+    Then of <requests> failing requests at most 12 in 100 are repeated
+
+    Examples:
+      | vms | requests |
+      | 9   | 5000     |
+      | 80  | 1000     |
 
   Scenario Outline: What may have run is never said not to have run
     Given a request that may be sent 2 times and is <kind>
--- a/features/unit/worst_load.feature
+++ b/features/unit/worst_load.feature
@@ -33,3 +33,13 @@
       | 0.8    | 21   | 5    |
       | 1.0    | 22   | 5    |
       | 1.3    | 23   | 5    |
+
+  Scenario Outline: Very long prompts are not shut out by the pause of streams
+    Given an engine with a running stream that was just sent <recent> tokens
+    Then <verdict> of 50000 tokens
+
+    Examples:
+      | recent | verdict             |
+      | 0      | it takes a prompt   |
+      | 18000  | it takes a prompt   |
+      | 30000  | it takes no prompt  |
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -77,7 +77,9 @@
         self._consensus = self._build_consensus()
         self._limits = self._build_limits()
         book = AddressBook(settings, lambda: self._limits.peers.live_vms())
-        self.endpoints = EndpointSync(book, self._client, clock, log)
+        self.endpoints = EndpointSync(
+            book, self._client, clock, log, settings.data_folder
+        )
         self.endpoints.register(self._server)
         self._placer = Placer(
             self._record,
@@ -238,6 +240,7 @@
             self._take_config(await changes.get())
 
     def _take_config(self, config: FleetConfig) -> None:
+        self._tools.follow(config)
         deployment = config.deployment
         if deployment is None:
             return
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
@@ -1,7 +1,9 @@
 """Spread the endpoints that register at disk VMs to the VMs of their region."""
 
 import asyncio
+import itertools
 from collections.abc import Iterable, Sequence
+from pathlib import Path
 from typing import final
 
 import msgspec
@@ -25,6 +27,7 @@
     EndpointPushed,
     Renewal,
 )
+from baobabwharf_daemon.proxy.endpoint_store import EndpointStore
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
 from baobabwharf_daemon.task import Task
 
@@ -34,6 +37,11 @@
 # A VM keeps endpoints through a loss of all disk VMs; failing connections
 # take a dead endpoint out of use long before.
 _SILENT_MS = 30_000
+# Endpoints known from before a restart are dropped if they do not speak for
+# so long; a heartbeat is due every second or two.
+_RESTORED_MS = 5000
+# Unchanged endpoints are stored again before they count as too old.
+_STORE_S = 5
 
 
 @final
@@ -46,8 +54,10 @@
         client: RpcClient,
         clock: Clock,
         log: DecisionLog,
+        folder: Path | None,
     ) -> None:
         self._vms = book
+        self._store = EndpointStore(folder, clock)
         self._clock = clock
         self._log = log
         self._beats: dict[EndpointId, EndpointRecord] = {}
@@ -67,7 +77,10 @@
     async def start(self) -> None:
         """Begin to renew, and to fetch on a VM without a disk."""
         self._loops = [spawn(self._renew_forever())]
-        if not self._vms.own.has_disk:
+        if self._vms.own.has_disk:
+            self._restore()
+            self._loops.append(spawn(self._store_forever()))
+        else:
             self._loops.append(spawn(self._fetch_first()))
 
     async def stop(self) -> None:
@@ -106,6 +119,23 @@
                 'endpoint_dropped', endpoint=endpoint_id, reason=reason
             )
 
+    def _restore(self) -> None:
+        records = self._store.load()
+        now_ms = self._clock.now_ms()
+        heard_ms = now_ms - _SILENT_MS + _RESTORED_MS
+        self.book.restore(records, heard_ms, now_ms)
+        self._log.record('endpoints_restored', count=len(records))
+
+    async def _store_forever(self) -> None:
+        stored: list[EndpointRecord] = []
+        for second in itertools.count():
+            await asyncio.sleep(_RENEW_S)
+            records = [one.record for one in self.book.entries.values()]
+            if second % _STORE_S and _same_states(stored, records):
+                continue
+            stored = records
+            await self._store.save(records)
+
     def _note(self, record: EndpointRecord) -> None:
         self._log.record(
             'endpoint_changed',
@@ -204,6 +234,15 @@
             await asyncio.sleep(_FETCH_PAUSE_S)
 
 
+def _same_states(
+    one: Sequence[EndpointRecord], other: Sequence[EndpointRecord]
+) -> bool:
+    return len(one) == len(other) and all(
+        before.same_state(after)
+        for before, after in zip(one, other, strict=True)
+    )
+
+
 def _wants(vm: VmRecord, region: RegionId) -> bool:
     return vm.has_disk or vm.region == region
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/tools.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/tools.py
@@ -1,6 +1,8 @@
 """Hold what all exchanges of a VM share."""
 
 from baobabwharf_core.clock import Clock
+from baobabwharf_core.model import FleetConfig
+from baobabwharf_decisions.membership.serving import entry_vms
 from baobabwharf_decisions.proxying.retry_share import RetryShare
 
 from baobabwharf_daemon.decision_log import DecisionLog
@@ -28,3 +30,7 @@
         self.log = log
         self.pool = ConnectionPool(clock)
         self.retries = RetryShare()
+
+    def follow(self, config: FleetConfig) -> None:
+        """Follow the number of VMs that share the retry budget."""
+        self.retries.follow(len(entry_vms(config.vms.values())))
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_book.py
@@ -85,6 +85,14 @@
         )
         return known is None or not known.record.same_state(record)
 
+    def restore(
+        self, records: Iterable[EndpointRecord], heard_ms: int, now_ms: int
+    ) -> None:
+        """Take records of an earlier life of this VM, as heard at a time."""
+        for record in records:
+            if self.take(record, now_ms):
+                self._entries[record.endpoint_id].heard_ms = heard_ms
+
     def leave(self, endpoint_id: EndpointId, now_ms: int) -> bool:
         """Drop an endpoint that says it leaves."""
         entry = self._entries.pop(endpoint_id, None)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -41,7 +41,9 @@
         self.running = 0
         self.unread_tokens = 0
         self.reading = ReadingRate()
-        self.burst = ReadingRate(stream_pace.MEMORY_MS)
+        # Taken as steady until the next word: its age is a good part of the
+        # time over which it is counted.
+        self.burst_tokens = 0
         self.heard_ms = 0
 
 
@@ -89,9 +91,7 @@
 
     def burst_tokens(self, now_ms: int) -> float:
         """Return the same over about one pause of a stream."""
-        others = sum(
-            other.burst.recent(now_ms) for other in self.others.values()
-        )
+        others = sum(other.burst_tokens for other in self.others.values())
         return self.burst.recent(now_ms) + others
 
     def share(self, now_ms: int) -> 'LoadShare':
@@ -109,7 +109,7 @@
         known.running = share.running
         known.unread_tokens = share.unread_tokens
         known.reading.put(share.recent_tokens, now_ms)
-        known.burst.put(share.burst_tokens, now_ms)
+        known.burst_tokens = share.burst_tokens
         known.heard_ms = now_ms
 
     def drop_share(self, vm_id: VmId) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -37,6 +37,9 @@
 LESS_URGENT_SHARE = 0.9
 # A session moves when its engine is behind by more than that.
 MOVE_TOKENS = 20_000
+# Part of the bound on prompts within a pause that one prompt counts at most:
+# long ones are then refused about as often as others, as the emulator shows.
+_LONG_SHARE = 0.3
 _DIGEST_BYTES = 8
 _MAX_RECENT = MAX_READING_SHARE * FULL_READ_TOKENS_PER_MS * MEMORY_MS
 
@@ -124,4 +127,7 @@
     if need.burst_bound is None or candidate.load.total_running == 0:
         return False
     burst = candidate.load.burst_tokens(need.now_ms)
-    return burst + own > need.burst_bound * need.share
+    # A very long prompt holds streams up wherever it goes; it needs an engine
+    # that has read little of late, not one that reads nothing else.
+    counted = min(own, need.burst_bound * _LONG_SHARE)
+    return burst + counted > need.burst_bound * need.share
--- a/packages/decisions/src/baobabwharf_decisions/proxying/retry_share.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/retry_share.py
@@ -12,8 +12,10 @@
 
 # Half of the users' retry ratio: a forwarded request is counted at two VMs.
 SHARE = 0.1
-# Repeats that a VM may save up; ten VMs together stay below the users' slack.
+# Repeats that a VM may save up; more than one only while all VMs together
+# stay below the users' slack.
 MAX_SAVED = 4.0
+ALL_SAVED = 40.0
 
 
 @final
@@ -22,11 +24,16 @@
 
     def __init__(self) -> None:
         self._saved: dict[ServiceId, float] = {}
+        self._most = MAX_SAVED
+
+    def follow(self, vms: int) -> None:
+        """Follow the number of VMs that repeat."""
+        self._most = max(1.0, min(MAX_SAVED, ALL_SAVED / max(1, vms)))
 
     def note_request(self, service: ServiceId) -> None:
         """Count a request that this VM has taken."""
-        saved = self._saved.get(service, MAX_SAVED / 2) + SHARE
-        self._saved[service] = min(MAX_SAVED, saved)
+        saved = self._saved.get(service, self._most / 2) + SHARE
+        self._saved[service] = min(self._most, saved)
 
     def take(self, service: ServiceId) -> bool:
         """Take the right to one repeat, if there is one."""
