Do not fail on a customer that only other VMs know yet

Cause: found by reading: a VM that hears what another one spent for a new customer keeps a bucket for it before it has the configuration; when a VM then fell silent, every request raised KeyError. Ruled out elsewhere: buckets of customers that are gone are dropped with the configuration. The new scenario failed with KeyError before.

--- a/features/steps/shared_meter.py
+++ b/features/steps/shared_meter.py
@@ -187,3 +187,20 @@
         fleet.refused,
         fleet.asked,
     )
+
+
+@when('the second tells of a customer unknown to the first and falls silent')
+def tells_unknown(context: Context) -> None:
+    fleet = context.metering
+    first, second = (fleet.meters[name] for name in fleet.names)
+    new = Customer('new', 1000, 1000)
+    second.configure({'hot': fleet.customer, 'new': new}, fleet.names)
+    assert second.take('new', 10, 0).is_ok()
+    first.hear(second.report(), 10)
+    assert first.take('hot', 10, 20).is_ok()
+
+
+@then('the first still serves the customer that it knows')
+def still_serves(context: Context) -> None:
+    first = context.metering.meters[context.metering.names[0]]
+    assert first.take('hot', 10, 5000).is_ok()
--- a/features/unit/shared_meter.feature
+++ b/features/unit/shared_meter.feature
@@ -37,3 +37,8 @@
     Given 6 metering VMs and a customer of 100000 tokens/s
     When it asks 0.5 times its rate for 40 s, seed 8, with all VMs restart
     Then at most 3 in 100 of its requests are refused
+
+  Scenario: A customer that only another VM knows does no harm
+    Given 2 metering VMs and a customer of 100000 tokens/s
+    When the second tells of a customer unknown to the first and falls silent
+    Then the first still serves the customer that it knows
--- a/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
@@ -201,8 +201,10 @@
             return
         part = silent / len(self._vms) * self._silent_ms / _MS_PER_S
         for customer_id, bucket in self._buckets.items():
-            rate = self._customers[customer_id].rate_tokens_per_s
-            bucket.level -= rate * part
+            # Others may know a customer earlier than this VM.
+            customer = self._customers.get(customer_id)
+            if customer is not None:
+                bucket.level -= customer.rate_tokens_per_s * part
 
     def _bucket(self, customer_id: CustomerId, now_ms: int) -> _Bucket:
         customer = self._customers.get(customer_id)
