Soak: a link must be calm from the start of a request to its end

Trace: the entry VM answered after 347 ms; the link of its caller was cut both ways from 16.7 s on, healed just before the faults ended, and the check looked only at the end. Ruled out: a late VM (its log), a forwarded hop (18 ms).

--- a/features/functional/platform_soak.feature
+++ b/features/functional/platform_soak.feature
@@ -10,3 +10,4 @@
     Examples:
       | seed | seconds | cause                                    |
       | 1    | 12      | a reload during the start ended a process |
+      | 123  | 10      | the check took a link that healed for calm |
