--- a/features/steps/metering_exchange.py
+++ b/features/steps/metering_exchange.py
@@ -12,6 +12,7 @@
 from baobabwharf_decisions.limits.spending import Period, Spending
 from behave import given, then, when
 from behave.runner import Context
+from gateway_fakes import FakeSource
 
 _PORT_HOST = '127.0.0.1'
 _OTHER_HOST = '127.0.0.2'
@@ -47,13 +48,15 @@
         )
 
     async def exchange(self, tokens: int) -> Spending:
+        source = FakeSource()
+        source.current = self.config
         metering = Metering(
             self.own,
             self.port,
             SystemClock(),
             Alone(),
-            lambda: self.config,
-            RelayMode(lambda: self.config),
+            source,
+            RelayMode(source),
         )
         await metering.start()
         loop = asyncio.get_running_loop()
--- a/features/steps/relay_exchange.py
+++ b/features/steps/relay_exchange.py
@@ -21,6 +21,7 @@
 from baobabwharf_decisions.proxying.prompt_cache import PromptPart
 from behave import given, then, when
 from behave.runner import Context
+from gateway_fakes import FakeSource
 
 _ENDPOINT = EndpointRecord('e', 's', '10.0.0.1:80', 'z', 'r', 8, 1, 1)
 _SERVICE = DeployedService('s', engine=EngineSpec(8, 100_000))
@@ -56,9 +57,9 @@
         book.take(_ENDPOINT, clock.now_ms())
         self.loads = LoadBook(clock, book)
         self.loads.size_caches([_SERVICE])
-        mode = RelayMode(fleet.get_config)
+        mode = RelayMode(fleet.source)
         self.metering = Metering(
-            own, port, clock, fleet.live, fleet.get_config, mode
+            own, port, clock, fleet.live, fleet.source, mode
         )
         log = DecisionLog(clock)
         log.record = lambda event, **fields: self.log_lines.append(
@@ -98,7 +99,8 @@
         self.live = Live(self.disks + self.entries)
         others = [vm(f'x{n}', '10.0.0.9', has_disk=False) for n in range(18)]
         known = self.disks + self.entries + others
-        self.config = FleetConfig(
+        self.source = FakeSource()
+        self.source.current = FleetConfig(
             1,
             # Two of twenty VMs spend a tenth; buckets start half full.
             {'c': Customer('c', 1, 100_000)},
@@ -110,9 +112,6 @@
         self.seen = -1
         self.refused = False
 
-    def get_config(self) -> FleetConfig:
-        return self.config
-
     async def run(self, wanted: int) -> None:
         clock = SystemClock()
         vms = [EntryVm(one, self.port, self) for one in self.entries]
@@ -122,7 +121,7 @@
                 self.port,
                 clock,
                 self.live,
-                RelayMode(self.get_config),
+                RelayMode(self.source),
                 None,
             )
             for disk in self.disks
--- a/packages/daemon/src/baobabwharf_daemon/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/app.py
@@ -6,14 +6,9 @@
 from typing import final
 
 from baobabwharf_core.clock import SystemClock
-from baobabwharf_core.ids import Incarnation
 from baobabwharf_core.invariants import InvariantViolation, on_violation
 from baobabwharf_decisions.membership.items import Summary
 
-from baobabwharf_daemon.consensus_parts import (
-    ConsensusParts,
-    build_consensus_parts,
-)
 from baobabwharf_daemon.defects import stop_process
 from baobabwharf_daemon.fleet_status import FleetStatus
 from baobabwharf_daemon.gateway_parts import (
@@ -21,15 +16,13 @@
     GatewayInputs,
     build_gateway,
 )
-from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.operator.events import EventLog
 from baobabwharf_daemon.registration import Registration
 from baobabwharf_daemon.routing_parts import RoutingParts, build_routing
-from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
 from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
-from baobabwharf_daemon.vm_records import own_record
+from baobabwharf_daemon.vm_parts import build_vm_parts
 
 _REGION_TOPIC = 'region'
 _STATUS_TOPIC = 'status'
@@ -42,19 +35,17 @@
     """Hold the tasks of one VM."""
 
     def __init__(self, settings: Settings) -> None:
-        secret = read_secret(settings.fleet_secret_file)
         self._settings = settings
         self._clock = SystemClock()
         self._random = random.Random()
-        self._record = own_record(settings, Incarnation(self._clock.wall_ms()))
-        self._server = RpcServer(secret, settings.tls)
-        self._client = RpcClient(
-            secret, settings.tls, settings.address_overrides
-        )
+        parts = build_vm_parts(settings, self._clock, self._random)
+        self._record = parts.record
+        self._server = parts.server
+        self._client = parts.client
+        self._consensus = parts.consensus
+        self._limits = parts.limits
         self._events = EventLog(self._clock)
         self._version = 0
-        self._consensus = self._build_consensus()
-        self._limits = self._build_limits()
         self._routing = self._build_routing()
         self._status = self._build_status()
         self._gateway = self._build_gateway()
@@ -100,26 +91,6 @@
         self._gateway.drain.released()
         _log.info('VM %s has stopped.', self._settings.vm_id)
 
-    def _build_consensus(self) -> ConsensusParts:
-        return build_consensus_parts(
-            self._settings,
-            self._clock,
-            self._random,
-            self._server,
-            self._client,
-            lambda: self._limits.peers.live_vms(),
-        )
-
-    def _build_limits(self) -> LimitsParts:
-        return build_limits_parts(
-            self._settings,
-            self._clock,
-            self._random,
-            self._server,
-            self._client,
-            self._consensus.follower,
-        )
-
     def _build_routing(self) -> RoutingParts:
         return build_routing(
             self._settings,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -10,20 +10,14 @@
 from typing import final
 
 from baobabwharf_core.clock import SystemClock
-from baobabwharf_core.ids import Incarnation
 from baobabwharf_core.model import FleetConfig, VmRecord
 from baobabwharf_decisions.proxying.routes import RouteTable
 
 from baobabwharf_daemon.address_book import AddressBook
-from baobabwharf_daemon.consensus_parts import (
-    ConsensusParts,
-    build_consensus_parts,
-)
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.gateway.http_server import HttpServer
 from baobabwharf_daemon.interfaces import MembershipView
-from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
 from baobabwharf_daemon.metrics import REVISION
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
 from baobabwharf_daemon.proxy.dialect import Dialect
@@ -36,10 +30,9 @@
 from baobabwharf_daemon.proxy.telling import build_telling
 from baobabwharf_daemon.proxy.tools import Tools
 from baobabwharf_daemon.registration import Registration
-from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
 from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
-from baobabwharf_daemon.vm_records import own_record
+from baobabwharf_daemon.vm_parts import build_vm_parts
 
 _HOUSEKEEPING_S = 0.25
 # After a stop request callers still connect with older addresses.
@@ -64,18 +57,16 @@
         clock: SystemClock,
         log: DecisionLog,
     ) -> None:
-        secret = read_secret(settings.fleet_secret_file)
         self._settings = settings
         self._clock = clock
         self._log = log
         self._random = random.Random()
-        self._record = own_record(settings, Incarnation(clock.wall_ms()))
-        self._server = RpcServer(secret, settings.tls)
-        self._client = RpcClient(
-            secret, settings.tls, settings.address_overrides
-        )
-        self._consensus = self._build_consensus()
-        self._limits = self._build_limits()
+        parts = build_vm_parts(settings, clock, self._random)
+        self._record = parts.record
+        self._server = parts.server
+        self._client = parts.client
+        self._consensus = parts.consensus
+        self._limits = parts.limits
         book = AddressBook(settings, lambda: self._limits.peers.live_vms())
         self.endpoints = EndpointSync(
             book, self._client, clock, log, settings.data_folder
@@ -96,7 +87,7 @@
             clock,
             self._placer.loads,
             self._limits,
-            lambda: self._consensus.follower.config,
+            self._consensus.follower,
             log,
         )
         self._telling = telling.tasks
@@ -266,23 +257,3 @@
             self._tools.pool.sweep()
             self._slots.publish()
             await asyncio.sleep(_HOUSEKEEPING_S)
-
-    def _build_consensus(self) -> ConsensusParts:
-        return build_consensus_parts(
-            self._settings,
-            self._clock,
-            self._random,
-            self._server,
-            self._client,
-            lambda: self._limits.peers.live_vms(),
-        )
-
-    def _build_limits(self) -> LimitsParts:
-        return build_limits_parts(
-            self._settings,
-            self._clock,
-            self._random,
-            self._server,
-            self._client,
-            self._consensus.follower,
-        )
--- a/packages/daemon/src/baobabwharf_daemon/proxy/datagrams.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/datagrams.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 import msgspec
+from baobabwharf_core.model import VmRecord
 
 from baobabwharf_daemon.defects import spawn
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.task import Task
+from baobabwharf_daemon.vm_records import host_of
 
 _log = get_logger('datagrams')
 
@@ -17,8 +19,8 @@
 class DatagramTask(Task, asyncio.DatagramProtocol):
     """Own a datagram socket; what is lost is told again later."""
 
-    def __init__(self, host: str, port: int) -> None:
-        self._host = host
+    def __init__(self, own: VmRecord, port: int) -> None:
+        self._own = own
         self._port = port
         self._transport: Any = None
         self._loop: asyncio.Task[None] | None = None
@@ -27,7 +29,7 @@
         """Open the socket and begin to tell."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(self._host, self._port)
+            lambda: self, local_addr=(host_of(self._own), self._port)
         )
         self._loop = spawn(self._tell_forever())
 
@@ -53,6 +55,10 @@
         except msgspec.DecodeError as fault:
             _log.warning('An unreadable datagram of %s: %s', addr, fault)
 
+    def others(self, vms: Iterable[VmRecord]) -> list[str]:
+        """Return the hosts of VMs, this one left out."""
+        return [host_of(vm) for vm in vms if vm.vm_id != self._own.vm_id]
+
     def send(self, content: bytes, hosts: Iterable[str]) -> None:
         """Send a datagram to the same port of other VMs."""
         for host in hosts:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_book.py
@@ -11,6 +11,7 @@
     EndpointRecord,
 )
 from baobabwharf_decisions.proxying.endpoint_load import (
+    NO_LOAD,
     EndpointLoad,
     LoadShare,
 )
@@ -19,7 +20,6 @@
 _PROMPT_SHARE = 0.85
 # Until the deployment is known no request is placed.
 _UNKNOWN_TOKENS = 0
-_NOTHING = LoadShare(0, 0, 0, 0)
 
 
 @final
@@ -65,7 +65,7 @@
         return {
             endpoint_id: share
             for endpoint_id, share in shares.items()
-            if share != _NOTHING
+            if share != NO_LOAD
         }
 
     def take_shares(
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_exchange.py
@@ -13,7 +13,6 @@
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
 from baobabwharf_daemon.proxy.load_book import LoadBook
 from baobabwharf_daemon.proxy.relay_mode import RelayMode
-from baobabwharf_daemon.vm_records import host_of
 
 # A few prompts are read in that time, so placements rarely collide.
 _PERIOD_S = 0.04
@@ -48,8 +47,7 @@
         mode: RelayMode,
         start_ms: int,
     ) -> None:
-        super().__init__(host_of(own), port)
-        self._own = own
+        super().__init__(own, port)
         self._loads = loads
         self._members = members
         self._mode = mode
@@ -73,14 +71,11 @@
         if self._mode.active:
             return _IDLE_S
         shares = self._loads.own_shares()
-        hosts = [
-            host_of(vm)
-            for vm in proxies_of(self._members.live_vms(), self._own.region)
-            if vm.vm_id != self._own.vm_id
-        ]
         if not shares and not self._told and self._own.has_disk:
             # It stands in for entry VMs only now and then.
             return _IDLE_S
+        live = self._members.live_vms()
+        hosts = self.others(proxies_of(live, self._own.region))
         self._unchanged = self._unchanged + 1 if shares == self._told else 0
         if hosts and not self._unchanged % _REPEAT_PERIODS:
             self._told = shares
--- a/packages/daemon/src/baobabwharf_daemon/proxy/messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/messages.py
@@ -23,6 +23,13 @@
 )
 
 
+def _find_header(headers: Headers, name: bytes) -> bytes | None:
+    for found, value in headers:
+        if found.lower() == name:
+            return value
+    return None
+
+
 class WireRequest(msgspec.Struct, frozen=True):
     """Hold a request as a caller sent it; target is path and query."""
 
@@ -33,10 +40,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its lower-case name."""
-        for found, value in self.headers:
-            if found.lower() == name:
-                return value
-        return None
+        return _find_header(self.headers, name)
 
 
 class CallFacts(msgspec.Struct, frozen=True):
@@ -79,10 +83,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its lower-case name."""
-        for found, value in self.headers:
-            if found.lower() == name:
-                return value
-        return None
+        return _find_header(self.headers, name)
 
 
 def end_to_end(headers: Headers) -> list[Header]:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/metering.py
@@ -13,10 +13,13 @@
 from baobabwharf_decisions.membership.serving import entry_vms
 from expression import Error, Ok, Result
 
-from baobabwharf_daemon.interfaces import LimitClient, MembershipView
+from baobabwharf_daemon.interfaces import (
+    ConfigSource,
+    LimitClient,
+    MembershipView,
+)
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
-from baobabwharf_daemon.proxy.relay_mode import ConfigGetter, RelayMode
-from baobabwharf_daemon.vm_records import host_of
+from baobabwharf_daemon.proxy.relay_mode import RelayMode
 
 # What is spent in that time and on the way is the overshoot of the scheme.
 _PERIOD_S = 0.2
@@ -43,14 +46,13 @@
         port: int,
         clock: Clock,
         members: MembershipView,
-        config: ConfigGetter,
+        source: ConfigSource,
         mode: RelayMode,
     ) -> None:
-        super().__init__(host_of(own), port)
-        self._own = own
+        super().__init__(own, port)
         self._clock = clock
         self._members = members
-        self._config = config
+        self._source = source
         self._mode = mode
         self._meter = SharedMeter(own.vm_id, own.incarnation)
         self._revision = -1
@@ -129,15 +131,11 @@
             for host, at_ms in self._heard_ms.items()
             if at_ms > after_ms
         }
-        live = {
-            host_of(vm)
-            for vm in entry_vms(self._members.live_vms())
-            if vm.vm_id != self._own.vm_id
-        }
-        return live | set(self._heard_ms)
+        live = self.others(entry_vms(self._members.live_vms()))
+        return self._heard_ms.keys() | live
 
     def _follow(self) -> None:
-        config = self._config()
+        config = self._source.config
         if config.revision == self._revision:
             return
         self._revision = config.revision
--- a/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
@@ -136,8 +136,7 @@
         mode: RelayMode,
         member: Member | None,
     ) -> None:
-        super().__init__(host_of(own), port)
-        self._own = own
+        super().__init__(own, port)
         self._clock = clock
         self._members = members
         self._mode = mode
@@ -190,5 +189,4 @@
         regions = {vm.region for vm in live}
         for region in regions:
             wanted.update(candidates(live, region)[:1])
-        wanted.discard(self._own.vm_id)
-        self.send(totals, [host_of(vm) for vm in live if vm.vm_id in wanted])
+        self.send(totals, self.others(vm for vm in live if vm.vm_id in wanted))
--- a/packages/daemon/src/baobabwharf_daemon/proxy/relay_mode.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/relay_mode.py
@@ -1,28 +1,26 @@
 """Tell whether the fleet is so large that its VMs use relays."""
 
-from collections.abc import Callable
 from typing import final
 
-from baobabwharf_core.model import FleetConfig
 from baobabwharf_decisions.membership.relay_choice import needs_relays
 from baobabwharf_decisions.membership.serving import entry_vms
 
-ConfigGetter = Callable[[], FleetConfig]
+from baobabwharf_daemon.interfaces import ConfigSource
 
 
 @final
 class RelayMode:
     """Follow the number of registered entry VMs."""
 
-    def __init__(self, config: ConfigGetter) -> None:
-        self._config = config
+    def __init__(self, source: ConfigSource) -> None:
+        self._source = source
         self._revision = -1
         self._active = False
 
     @property
     def active(self) -> bool:
         """Tell whether VMs tell relays instead of each other."""
-        config = self._config()
+        config = self._source.config
         if config.revision != self._revision:
             self._revision = config.revision
             self._active = needs_relays(len(entry_vms(config.vms.values())))
--- a/packages/daemon/src/baobabwharf_daemon/proxy/telling.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/telling.py
@@ -5,13 +5,13 @@
 from baobabwharf_core.model import VmRecord
 
 from baobabwharf_daemon.decision_log import DecisionLog
-from baobabwharf_daemon.interfaces import LimitClient
+from baobabwharf_daemon.interfaces import ConfigSource, LimitClient
 from baobabwharf_daemon.limits_parts import LimitsParts
 from baobabwharf_daemon.proxy.load_book import LoadBook
 from baobabwharf_daemon.proxy.load_exchange import LoadExchange
 from baobabwharf_daemon.proxy.metering import Metering
 from baobabwharf_daemon.proxy.relay_exchange import Member, RelayExchange
-from baobabwharf_daemon.proxy.relay_mode import ConfigGetter, RelayMode
+from baobabwharf_daemon.proxy.relay_mode import RelayMode
 from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
 
@@ -29,7 +29,7 @@
     clock: Clock,
     loads: LoadBook,
     parts: LimitsParts,
-    config: ConfigGetter,
+    source: ConfigSource,
     log: DecisionLog,
 ) -> Telling:
     """Meter customers where ports for it are set, else lend tokens."""
@@ -40,7 +40,7 @@
         or ports.relay_port is None
     ):
         return Telling(parts.lending, (parts.lending,))
-    mode = RelayMode(config)
+    mode = RelayMode(source)
     exchange = LoadExchange(
         own, ports.load_port, loads, parts.peers, mode, clock.wall_ms()
     )
@@ -49,7 +49,7 @@
             own, ports.relay_port, clock, parts.peers, mode, None
         )
         return Telling(parts.lending, (exchange, relay))
-    metering = Metering(own, ports.meter_port, clock, parts.peers, config, mode)
+    metering = Metering(own, ports.meter_port, clock, parts.peers, source, mode)
     member = Member(own, loads, metering, clock, log)
     relay = RelayExchange(
         own, ports.relay_port, clock, parts.peers, mode, member
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/vm_parts.py
@@ -0,0 +1,50 @@
+"""Build what every VM has, whatever it serves."""
+
+import random
+
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.ids import Incarnation
+from baobabwharf_core.model import VmRecord
+
+from baobabwharf_daemon.consensus_parts import (
+    ConsensusParts,
+    build_consensus_parts,
+)
+from baobabwharf_daemon.limits_parts import LimitsParts, build_limits_parts
+from baobabwharf_daemon.rpc import RpcClient, RpcServer, read_secret
+from baobabwharf_daemon.settings import Settings
+from baobabwharf_daemon.vm_records import own_record
+
+
+class VmParts(msgspec.Struct, frozen=True):
+    """Hold the calls between VMs, the replicated state and the membership."""
+
+    record: VmRecord
+    server: RpcServer
+    client: RpcClient
+    consensus: ConsensusParts
+    limits: LimitsParts
+
+
+def build_vm_parts(
+    settings: Settings, clock: Clock, generator: random.Random
+) -> VmParts:
+    """Create the parts; call it inside the event loop."""
+    secret = read_secret(settings.fleet_secret_file)
+    record = own_record(settings, Incarnation(clock.wall_ms()))
+    server = RpcServer(secret, settings.tls)
+    client = RpcClient(secret, settings.tls, settings.address_overrides)
+    consensus = build_consensus_parts(
+        settings,
+        clock,
+        generator,
+        server,
+        client,
+        # The membership follows the configuration, so it is built later.
+        lambda: limits.peers.live_vms(),
+    )
+    limits = build_limits_parts(
+        settings, clock, generator, server, client, consensus.follower
+    )
+    return VmParts(record, server, client, consensus, limits)
--- a/packages/decisions/src/baobabwharf_decisions/groups.py
+++ b/packages/decisions/src/baobabwharf_decisions/groups.py
@@ -1,12 +1,12 @@
 """Order the endpoints that serve one service and model."""
 
-import hashlib
 from collections.abc import Iterator
 
 from baobabwharf_core.ids import EndpointId
 from sortedcontainers import SortedDict, SortedList
 
 from baobabwharf_decisions.endpoints import USABLE, EndpointState
+from baobabwharf_decisions.hashing import hash_point
 
 _RING_POINTS = 8
 # Below this share of healthy endpoints ejection is ignored, since the rest
@@ -14,11 +14,6 @@
 PANIC_SHARE = 0.5
 
 
-def _point(endpoint_id: EndpointId, index: int) -> int:
-    name = f'{endpoint_id} {index}'.encode()
-    return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), 'big')
-
-
 class EndpointGroup:
     """Rank endpoints with room; a full endpoint is not in the ranking."""
 
@@ -72,15 +67,15 @@
         """Add an endpoint."""
         self._members[endpoint.endpoint_id] = endpoint
         for index in range(_RING_POINTS):
-            point = _point(endpoint.endpoint_id, index)
-            self._ring[point] = endpoint.endpoint_id
+            where = hash_point(endpoint.endpoint_id, str(index))
+            self._ring[where] = endpoint.endpoint_id
 
     def remove(self, endpoint: EndpointState) -> None:
         """Remove an endpoint and its rank."""
         if self._members.pop(endpoint.endpoint_id, None) is None:
             return
         for index in range(_RING_POINTS):
-            self._ring.pop(_point(endpoint.endpoint_id, index), None)
+            self._ring.pop(hash_point(endpoint.endpoint_id, str(index)), None)
         self.unrank(endpoint)
 
     def rank(self, endpoint: EndpointState) -> None:
--- a/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shared_meter.py
@@ -18,6 +18,7 @@
 from expression import Error, Ok, Result
 
 from baobabwharf_decisions.limits.spending import (
+    Heard,
     Spending,
     SpendingReader,
     SpendingWindow,
@@ -64,15 +65,6 @@
         return max(0.0, self._others) * unheard_ms / _GUESS_MS
 
 
-@final
-class _Heard:
-    """Remember when a VM spoke last, and for how many VMs."""
-
-    def __init__(self, vms: int, now_ms: int) -> None:
-        self.vms = vms
-        self.at_ms = now_ms
-
-
 @final
 class SharedMeter:
     """Decide on one VM; times are monotonic ms."""
@@ -86,7 +78,7 @@
         self._window = SpendingWindow()
         self._reader = SpendingReader()
         self._silent_ms = SILENT_MS
-        self._heard: dict[VmId, _Heard] = {}
+        self._heard: dict[VmId, Heard] = {}
         # Whether relays speak for all other VMs.
         self._relayed = False
         self._heard_vms = 0
@@ -154,7 +146,7 @@
             wait_ms = (needed - left) * _MS_PER_S / rate
             return Error(max(_MIN_RETRY_MS, int(wait_ms)))
         bucket.level -= tokens
-        self._window.add(customer_id, tokens)
+        self._window.add({customer_id: tokens})
         return Ok(None)
 
     def give_back(self, customer_id: CustomerId, tokens: int) -> None:
@@ -162,7 +154,7 @@
         bucket = self._buckets.get(customer_id)
         if bucket is not None:
             bucket.level += tokens
-            self._window.add(customer_id, -tokens)
+            self._window.add({customer_id: -tokens})
 
     def describe(self, customer_id: CustomerId, now_ms: int) -> str:
         """Return what a decision about a customer rests on."""
@@ -185,7 +177,7 @@
             return
         for customer_id, tokens in fresh.items():
             self._bucket(customer_id, now_ms).spend_elsewhere(tokens)
-        self._heard[told.vm_id] = _Heard(told.vms, now_ms)
+        self._heard[told.vm_id] = Heard(told.vms, now_ms)
 
     def _notice_silence(self, now_ms: int) -> None:
         """Charge the share of VMs for the time in which they went silent."""
--- a/packages/decisions/src/baobabwharf_decisions/limits/shares.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/shares.py
@@ -1,12 +1,12 @@
 """Divide a customer's bucket among holder VMs."""
 
-import hashlib
 from typing import final
 
 import msgspec
 from baobabwharf_core.ids import CustomerId, RegionId, VmId
 from baobabwharf_core.model import Customer, VmRecord
 
+from baobabwharf_decisions.hashing import hash_names
 from baobabwharf_decisions.limits.units import (
     MICRO,
     MICRO_PER_MS,
@@ -16,7 +16,6 @@
 _HOLDERS_PER_REGION = 3
 # Up to this many VMs all are holders.
 _SMALL_FLEET = 9
-_DIGEST_BYTES = 8
 
 
 class Share(msgspec.Struct, frozen=True):
@@ -35,7 +34,7 @@
         self._chosen: dict[CustomerId, tuple[VmId, ...]] = {}
         self._all = tuple(self._regions)
         text = ' '.join(f'{vm}={at}' for vm, at in self._regions.items())
-        self._digest = _digest(text)
+        self._digest = hash_names(text)
 
     @property
     def digest(self) -> bytes:
@@ -77,7 +76,7 @@
         chosen: list[VmId] = []
         for region in sorted(set(self._regions.values())):
             ranked = sorted(
-                (_digest(f'{customer_id} {vm_id}'), vm_id)
+                (hash_names(customer_id, vm_id), vm_id)
                 for vm_id, place in self._regions.items()
                 if place == region
             )
@@ -142,7 +141,3 @@
 
 def _part(whole: int, index: int, count: int) -> int:
     return whole * (index + 1) // count - whole * index // count
-
-
-def _digest(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
--- a/packages/decisions/src/baobabwharf_decisions/limits/spending.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/spending.py
@@ -7,7 +7,6 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 from typing import final
 
 import msgspec
@@ -16,12 +15,20 @@
 # How often a period is told; as many datagrams in a row may get lost.
 TOLD_PERIODS = 4
 
+Tokens = dict[CustomerId, int]
+
+
+def add_tokens(total: Tokens, spent: Tokens) -> None:
+    """Add what customers have spent to a total."""
+    for customer_id, tokens in spent.items():
+        total[customer_id] = total.get(customer_id, 0) + tokens
+
 
 class Period(msgspec.Struct, frozen=True, array_like=True):
     """Hold what was spent in one period; returned tokens are negative."""
 
     number: int
-    tokens: dict[CustomerId, int]
+    tokens: Tokens
 
 
 class Spending(msgspec.Struct, frozen=True):
@@ -33,12 +40,19 @@
     vms: int = 1
 
 
+class Heard(msgspec.Struct, frozen=True):
+    """Remember when a VM spoke last, and for how many VMs."""
+
+    vms: int
+    at_ms: int
+
+
 @final
 class SpendingWindow:
     """Collect what is spent, period by period."""
 
     def __init__(self) -> None:
-        self._open: dict[CustomerId, int] = {}
+        self._open: Tokens = {}
         self._number = 0
         self._closed: deque[Period] = deque(maxlen=TOLD_PERIODS)
 
@@ -52,9 +66,9 @@
         """Tell whether nothing was spent in the closed periods."""
         return not any(period.tokens for period in self._closed)
 
-    def add(self, customer_id: CustomerId, tokens: int) -> None:
+    def add(self, spent: Tokens) -> None:
         """Count tokens in the open period."""
-        self._open[customer_id] = self._open.get(customer_id, 0) + tokens
+        add_tokens(self._open, spent)
 
     def close(self) -> None:
         """Begin the next period."""
@@ -74,7 +88,7 @@
         """Return the newest period taken of a VM, 0 for none."""
         return self._newest.get(vm_id, (Incarnation(0), 0))[1]
 
-    def fresh(self, told: Spending) -> dict[CustomerId, int] | None:
+    def fresh(self, told: Spending) -> Tokens | None:
         """Return what was not known yet, None if nothing in it is new."""
         known = self._newest.get(told.vm_id, (Incarnation(0), 0))
         seen = known[1] if known[0] == told.incarnation else 0
@@ -82,16 +96,12 @@
         if told.incarnation < known[0] or last <= seen:
             return None
         self._newest[told.vm_id] = (told.incarnation, last)
-        return _sum_of(one for one in told.periods if one.number > seen)
+        total: Tokens = {}
+        for period in told.periods:
+            if period.number > seen:
+                add_tokens(total, period.tokens)
+        return total
 
     def forget(self, vm_id: VmId) -> None:
         """Drop a VM that is gone."""
         self._newest.pop(vm_id, None)
-
-
-def _sum_of(periods: Iterable[Period]) -> dict[CustomerId, int]:
-    total: dict[CustomerId, int] = {}
-    for period in periods:
-        for customer_id, tokens in period.tokens.items():
-            total[customer_id] = total.get(customer_id, 0) + tokens
-    return total
--- a/packages/decisions/src/baobabwharf_decisions/limits/spending_relay.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/spending_relay.py
@@ -10,22 +10,23 @@
 from typing import final
 
 import msgspec
-from baobabwharf_core.ids import CustomerId, Incarnation, VmId
+from baobabwharf_core.ids import Incarnation, VmId
 
 from baobabwharf_decisions.limits.spending import (
     TOLD_PERIODS,
+    Heard,
     Period,
     Spending,
     SpendingReader,
     SpendingWindow,
+    Tokens,
+    add_tokens,
 )
 
 # A member or relay that is silent for so long is not spoken for any more: the
 # time in which meters themselves take a VM for silent.
 SILENT_MS = 600
 
-Tokens = dict[CustomerId, int]
-
 
 class _Closed(msgspec.Struct, frozen=True):
     number: int
@@ -33,11 +34,6 @@
     by_member: dict[VmId, Tokens]
 
 
-class _Heard(msgspec.Struct, frozen=True):
-    at_ms: int
-    vms: int
-
-
 @final
 class SpendingRelay:
     """Add up on one VM; times are monotonic ms."""
@@ -51,8 +47,8 @@
         self._by_member: dict[VmId, Tokens] = {}
         self._closed: deque[_Closed] = deque(maxlen=TOLD_PERIODS)
         self._number = 0
-        self._members: dict[VmId, _Heard] = {}
-        self._relays: dict[VmId, _Heard] = {}
+        self._members: dict[VmId, Heard] = {}
+        self._relays: dict[VmId, Heard] = {}
 
     @property
     def has_members(self) -> bool:
@@ -66,20 +62,17 @@
 
     def hear_member(self, told: Spending, now_ms: int) -> None:
         """Take what a VM has spent."""
-        self._members[told.vm_id] = _Heard(now_ms, 1)
+        self._members[told.vm_id] = Heard(1, now_ms)
         fresh = self._reader.fresh(told) or {}
-        if fresh:
-            own = self._by_member.setdefault(told.vm_id, {})
-            _add(own, fresh)
-            _add(self._total, fresh)
-        for customer_id, tokens in fresh.items():
-            self._of_members.add(customer_id, tokens)
+        add_tokens(self._by_member.setdefault(told.vm_id, {}), fresh)
+        add_tokens(self._total, fresh)
+        self._of_members.add(fresh)
 
     def hear_relay(self, told: Spending, now_ms: int) -> None:
         """Take what the members of another relay have spent."""
         if told.vm_id != self._own:
-            self._relays[told.vm_id] = _Heard(now_ms, told.vms)
-            _add(self._total, self._reader.fresh(told) or {})
+            self._relays[told.vm_id] = Heard(told.vms, now_ms)
+            add_tokens(self._total, self._reader.fresh(told) or {})
 
     def close(self, now_ms: int) -> Spending:
         """Begin the next period; return what to tell other relays."""
@@ -117,9 +110,9 @@
         )
 
     def _without_silent(
-        self, heard: dict[VmId, _Heard], now_ms: int
-    ) -> dict[VmId, _Heard]:
-        kept: dict[VmId, _Heard] = {}
+        self, heard: dict[VmId, Heard], now_ms: int
+    ) -> dict[VmId, Heard]:
+        kept: dict[VmId, Heard] = {}
         for vm_id, one in heard.items():
             if now_ms - one.at_ms <= SILENT_MS:
                 kept[vm_id] = one
@@ -128,11 +121,6 @@
         return kept
 
 
-def _add(total: Tokens, fresh: Tokens) -> None:
-    for customer_id, tokens in fresh.items():
-        total[customer_id] = total.get(customer_id, 0) + tokens
-
-
 def _without(closed: _Closed, member: VmId) -> Tokens:
     own = closed.by_member.get(member)
     if not own:
--- a/packages/decisions/src/baobabwharf_decisions/proxying/cold_pace.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/cold_pace.py
@@ -5,29 +5,24 @@
 share the rate of each cold endpoint; the other VMs send it nothing.
 """
 
-import hashlib
 from collections import deque
 from collections.abc import Iterable
 from typing import final
 
 from baobabwharf_core.ids import EndpointId, VmId
 
+from baobabwharf_decisions.hashing import hash_names
+
 _WINDOW_MS = 1000
 _MAX_OWNERS = 3
-_DIGEST_BYTES = 8
 
 
 def owners(endpoint_id: EndpointId, vms: Iterable[VmId]) -> tuple[VmId, ...]:
     """Return the VMs that may send to a cold endpoint."""
-    ranked = sorted(vms, key=lambda vm_id: _score(endpoint_id, vm_id))
+    ranked = sorted(vms, key=lambda vm_id: hash_names(endpoint_id, vm_id))
     return tuple(ranked[:_MAX_OWNERS])
 
 
-def _score(endpoint_id: EndpointId, vm_id: VmId) -> bytes:
-    name = f'{endpoint_id} {vm_id}'.encode()
-    return hashlib.blake2b(name, digest_size=_DIGEST_BYTES).digest()
-
-
 @final
 class ColdPace:
     """Count what this VM sent to each cold endpoint in the last second."""
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -33,6 +33,9 @@
     burst_tokens: int
 
 
+NO_LOAD = LoadShare(0, 0, 0, 0)
+
+
 @final
 class SharedLoad:
     """Hold what another VM told last."""
@@ -94,7 +97,7 @@
         )
         return self.burst.recent(now_ms) + others
 
-    def share(self, now_ms: int) -> 'LoadShare':
+    def share(self, now_ms: int) -> LoadShare:
         """Return what other VMs need to know of the own requests."""
         return LoadShare(
             self.running,
@@ -103,7 +106,7 @@
             int(self.burst.recent(now_ms)),
         )
 
-    def note_share(self, vm_id: VmId, share: 'LoadShare', now_ms: int) -> None:
+    def note_share(self, vm_id: VmId, share: LoadShare, now_ms: int) -> None:
         """Take what another VM has running here."""
         known = self.others.setdefault(vm_id, SharedLoad())
         known.running = share.running
--- a/packages/decisions/src/baobabwharf_decisions/proxying/load_relay.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/load_relay.py
@@ -11,9 +11,7 @@
 
 from baobabwharf_core.ids import EndpointId, VmId
 
-from baobabwharf_decisions.proxying.endpoint_load import LoadShare
-
-_NOTHING = LoadShare(0, 0, 0, 0)
+from baobabwharf_decisions.proxying.endpoint_load import NO_LOAD, LoadShare
 
 
 @final
@@ -33,21 +31,21 @@
         before = self._shares.get(vm_id, {})
         self._shares[vm_id] = shares
         for endpoint_id in before.keys() | shares.keys():
-            gone = before.get(endpoint_id, _NOTHING)
-            come = shares.get(endpoint_id, _NOTHING)
+            gone = before.get(endpoint_id, NO_LOAD)
+            come = shares.get(endpoint_id, NO_LOAD)
             self._change(endpoint_id, gone, come)
 
     def others_of(self, vm_id: VmId) -> dict[EndpointId, LoadShare]:
         """Return the sums of all VMs but one."""
         own = self._shares.get(vm_id, {})
         sums = {
-            endpoint_id: _less(total, own.get(endpoint_id, _NOTHING))
+            endpoint_id: _less(total, own.get(endpoint_id, NO_LOAD))
             for endpoint_id, total in self._totals.items()
         }
         return {
             endpoint_id: share
             for endpoint_id, share in sums.items()
-            if share != _NOTHING
+            if share != NO_LOAD
         }
 
     def forget_silent(self, silent_ms: int, now_ms: int) -> None:
@@ -61,9 +59,9 @@
     def _change(
         self, endpoint_id: EndpointId, gone: LoadShare, come: LoadShare
     ) -> None:
-        total = self._totals.get(endpoint_id, _NOTHING)
+        total = self._totals.get(endpoint_id, NO_LOAD)
         changed = _more(_less(total, gone), come)
-        if changed == _NOTHING:
+        if changed == NO_LOAD:
             self._totals.pop(endpoint_id, None)
         else:
             self._totals[endpoint_id] = changed
--- a/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/prompt_backlog.py
@@ -9,17 +9,19 @@
 so much of the time that long answers would miss their deadline.
 """
 
-import hashlib
 from collections.abc import Sequence
 from typing import final
 
 import msgspec
-from baobabwharf_core.ids import EndpointId
 
+from baobabwharf_decisions.hashing import hash_names
 from baobabwharf_decisions.proxying import long_prompts
 from baobabwharf_decisions.proxying.endpoint_load import Candidate
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
-from baobabwharf_decisions.proxying.reading_rate import MEMORY_MS
+from baobabwharf_decisions.proxying.reading_rate import (
+    FULL_READ_TOKENS_PER_MS,
+    MEMORY_MS,
+)
 
 # Reading speed while other requests generate: a chunk of 4096 tokens takes
 # about 41 ms at 101 tokens per ms, and the step of a batch 4 to 5 ms more.
@@ -27,8 +29,6 @@
 # Time to the first token that no placement can save: one batch step, the
 # first event's tokens and the network.
 FIRST_EVENT_MS = 60
-# Reading speed of an engine that does nothing else, in tokens per ms.
-FULL_READ_TOKENS_PER_MS = 101
 # Part of an engine's time that may go into reading prompts: a long answer of
 # some 400 tokens then still ends within 12 s, as the emulator shows.
 MAX_READING_SHARE = 0.82
@@ -38,7 +38,6 @@
 LESS_URGENT_SHARE = 0.9
 # A session moves when its engine is behind by more than that.
 MOVE_TOKENS = 20_000
-_DIGEST_BYTES = 8
 _MAX_RECENT = MAX_READING_SHARE * FULL_READ_TOKENS_PER_MS * MEMORY_MS
 
 
@@ -94,12 +93,7 @@
     """Return the engine at which all VMs look for a session first."""
     # The last part belongs to the request, the one before to its session.
     session = prompt[-2].part_id if len(prompt) > 1 else ''
-    return max(candidates, key=lambda one: _score(one.endpoint_id, session))
-
-
-def _score(endpoint_id: EndpointId, session: str) -> bytes:
-    name = f'{endpoint_id} {session}'.encode()
-    return hashlib.blake2b(name, digest_size=_DIGEST_BYTES).digest()
+    return max(candidates, key=lambda one: hash_names(one.endpoint_id, session))
 
 
 def _has_slot(candidate: Candidate) -> bool:
--- a/packages/decisions/src/baobabwharf_decisions/proxying/reading_rate.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/reading_rate.py
@@ -8,6 +8,8 @@
 import math
 from typing import final
 
+# Reading speed of an engine that does nothing else, in tokens per ms.
+FULL_READ_TOKENS_PER_MS = 101
 # Long enough to smooth single prompts, short against a long answer.
 MEMORY_MS = 2000
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/region_rest.py
@@ -7,7 +7,6 @@
 reached rests for itself: its region may be fine.
 """
 
-import hashlib
 import math
 import random
 from collections.abc import Iterable, Mapping
@@ -16,12 +15,12 @@
 import msgspec
 from baobabwharf_core.ids import RegionId, ServiceId, VmId
 
+from baobabwharf_decisions.hashing import POINTS, hash_point
+
 # About four round trips between regions: room there changes no faster.
 REST_MS = 200
 # About the time in which the other VMs notice that a VM is gone.
 VM_REST_MS = 1000
-_DIGEST_BYTES = 8
-_POINTS = (1 << (8 * _DIGEST_BYTES)) + 1
 
 
 class RegionOffer(msgspec.Struct, frozen=True):
@@ -94,11 +93,9 @@
 
 
 def _weighted_score(region: RegionId, session: str, weight: int) -> float:
-    digest = hashlib.blake2b(
-        f'{region} {session}'.encode(), digest_size=_DIGEST_BYTES
-    ).digest()
-    point = (int.from_bytes(digest, 'big') + 1) / _POINTS
-    return weight / -math.log(point)
+    # Neither 0 nor 1, which have no score.
+    share = (hash_point(region, session) + 1) / (POINTS + 1)
+    return weight / -math.log(share)
 
 
 def offers_of(
--- a/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
@@ -14,9 +14,9 @@
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from expression import Error, Ok, Result
 
+from baobabwharf_decisions.hashing import POINTS, hash_point
+
 _KEY_DIGEST_BYTES = 16
-_SPLIT_DIGEST_BYTES = 8
-_SPLIT_RANGE = 1 << (8 * _SPLIT_DIGEST_BYTES)
 
 
 def key_digest(key: bytes) -> bytes:
@@ -96,13 +96,10 @@
 def split_service(route: DeployedRoute, request_id: str) -> ServiceId:
     """Choose the service of a request by the weights of its route."""
     total = sum(share.weight for share in route.shares)
-    digest = hashlib.blake2b(
-        request_id.encode(), digest_size=_SPLIT_DIGEST_BYTES
-    ).digest()
-    point = int.from_bytes(digest, 'big') / _SPLIT_RANGE * total
+    left = hash_point(request_id) / POINTS * total
     for share in route.shares:
-        point -= share.weight
-        if point < 0:
+        left -= share.weight
+        if left < 0:
             return share.service
     return max(route.shares, key=_weight).service
 
