Start the platform's program in one way in soak and tests; share meter tests

- Settings and start of a process stood in the soak and in the steps of platform_fleet: baobabwharf_soak.programs holds them.
- The steps for direct and relayed metering share the customer that they watch; their assertions are the same ones, in one place.

--- a/features/steps/platform_fleet.py
+++ b/features/steps/platform_fleet.py
@@ -2,26 +2,23 @@
 
 import asyncio
 import json
-import os
 import random
 import shutil
 import signal
 import subprocess
-import sys
 import time
 from pathlib import Path
 
 import aiohttp
+from baobabwharf_soak.programs import CONTROL, DIRECTORY, FRONT, Layout
 from behave import given, then, when
 from behave.runner import Context
 
-_ROOT = Path(__file__).parents[2]
 _KEY = 'platform-key'
 _HOST = 'h.example'
 # Waits for what must happen at all; no measure of speed.
 _PATIENCE_S = 60
 _POLL_S = 0.2
-_CONTROL, _DIRECTORY, _FRONT, _READY, _RANGE = 0, 1, 2, 3, 10
 _METRICS_PORT = 9464
 
 
@@ -84,11 +81,12 @@
     ) -> None:
         self.folder = folder
         self.loop = asyncio.new_event_loop()
-        self.base = random.Random(seed).randrange(20_000, 28_000, 40)
+        base = random.Random(seed).randrange(20_000, 28_000, 40)
         prefix = f'127.0.{10 + seed}'
         self.disks = [f'{prefix}.{n + 1}' for n in range(disks)]
         self.entries = [f'{prefix}.{n + 51}' for n in range(entries)]
-        self.endpoint = FleetEndpoint(f'{prefix}.101', self.base)
+        self.layout = Layout(folder, base, {'z-1': 'r-1'}, self.disks)
+        self.endpoint = FleetEndpoint(f'{prefix}.101', base)
         self.processes: dict[str, subprocess.Popen] = {}
         self.document = b''
         self.requests = 0
@@ -101,41 +99,12 @@
         return self.loop.run_until_complete(work)
 
     def port(self, offset: int) -> int:
-        return self.base + offset
+        return self.layout.port(offset)
 
     def start(self, host: str, *, bootstrap: bool) -> None:
-        is_disk = host in self.disks
-        listen = {
-            name: f'{host}:{self.port(offset)}'
-            for name, offset in (
-                (('control', _CONTROL), ('directory', _DIRECTORY))
-                if is_disk
-                else (('front', _FRONT), ('ready', _READY))
-            )
-        }
-        settings = {
-            'nodeName': f'vm-{host}',
-            'ip': host,
-            'zone': 'z-1',
-            'region': 'r-1',
-            'zones': {'z-1': 'r-1'},
-            'listen': listen,
-            'portRange': [self.port(_RANGE), self.port(_RANGE) + 15],
-            'seeds': [f'{one}:{self.port(_CONTROL)}' for one in self.disks],
-            'bootstrap': bootstrap,
-            'dataDir': str(self.folder / host) if is_disk else None,
-            'bounds': {'graceS': 8},
-        }
-        path = self.folder / f'{host}.json'
-        path.write_text(json.dumps(settings))
-        log = (self.folder / f'{host}.log').open('ab')
-        self.processes[host] = subprocess.Popen(
-            [sys.executable, str(_ROOT / 'platform' / 'run.py')],
-            env={**os.environ, 'BAOBABWHARF_SETTINGS': str(path)},
-            stdout=log,
-            stderr=subprocess.STDOUT,
+        self.processes[host] = self.layout.start(
+            host, 'z-1', host, bootstrap=bootstrap
         )
-        log.close()
 
     def kill(self, host: str) -> None:
         process = self.processes.pop(host)
@@ -168,7 +137,7 @@
             return 0, b''
 
     def control(self, host: str, path: str) -> str:
-        return f'http://{host}:{self.port(_CONTROL)}/baobabwharf/{path}'
+        return f'http://{host}:{self.port(CONTROL)}/baobabwharf/{path}'
 
     def wait(self, check, what: str) -> None:
         """Poll until a check returns true."""
@@ -220,7 +189,7 @@
         self.requests += 1
         return await self.call(
             'POST',
-            f'http://{host}:{self.port(_FRONT)}{path}',
+            f'http://{host}:{self.port(FRONT)}{path}',
             b'body',
             **{
                 'Host': _HOST,
@@ -232,7 +201,7 @@
 
     async def addresses(self, host: str) -> set[str]:
         url = (
-            f'http://{host}:{self.port(_DIRECTORY)}/baobabwharf/resolve'
+            f'http://{host}:{self.port(DIRECTORY)}/baobabwharf/resolve'
             f'?name={_HOST}&region=r-1&zone=z-1'
         )
         status, body = await self.call('GET', url)
@@ -288,7 +257,7 @@
 @then('the address look-up names both entry VMs')
 def both_named(context: Context) -> None:
     fleet = context.fleet
-    expected = {f'{host}:{fleet.port(_FRONT)}' for host in fleet.entries}
+    expected = {f'{host}:{fleet.port(FRONT)}' for host in fleet.entries}
 
     async def named() -> bool:
         return await fleet.addresses(fleet.disks[0]) == expected
@@ -299,7 +268,7 @@
 @then('the address look-up names the other entry VM only')
 def other_named(context: Context) -> None:
     fleet = context.fleet
-    expected = {f'{fleet.entries[1]}:{fleet.port(_FRONT)}'}
+    expected = {f'{fleet.entries[1]}:{fleet.port(FRONT)}'}
 
     async def named() -> bool:
         return await fleet.addresses(fleet.disks[0]) == expected
--- a/features/steps/shared_meter.py
+++ b/features/steps/shared_meter.py
@@ -8,26 +8,21 @@
 from baobabwharf_decisions.limits.shared_meter import SharedMeter
 from behave import given, then, when
 from behave.runner import Context
+from hot_customer import MEAN_TOKENS, HotCustomer
 
 _LINK_MS = 55
 _PERIOD_MS = 200
-_MEAN_TOKENS = 5000
-_WINDOW_MS = 8000
-_OVERAGE = 1.1
 
 
 class MeteringFleet:
     """Hold the meters and the datagrams under way."""
 
     def __init__(self, count: int, rate: int) -> None:
-        self.customer = Customer('hot', rate, rate)
+        self.hot = HotCustomer(rate)
         self.names = [f'vm-{number}' for number in range(count)]
         self.meters = {name: self.fresh(name, 1) for name in self.names}
         self.under_way: list[tuple[int, int, str, object]] = []
         self.numbers = itertools.count()
-        self.granted: list[tuple[int, int]] = []
-        self.asked = 0
-        self.refused = 0
         self.frozen: tuple[str, int, int] = ('', 0, 0)
         self.cut: tuple[int, int] = (0, 0)
         self.sides = 2
@@ -38,7 +33,7 @@
 
     def fresh(self, name: str, life: int) -> SharedMeter:
         meter = SharedMeter(name, life)
-        meter.configure({'hot': self.customer}, self.names)
+        meter.configure({'hot': self.hot.customer}, self.names)
         return meter
 
     def trouble(self, kind: str) -> None:
@@ -63,7 +58,7 @@
 
     def run(self, factor: float, length_ms: int, seed: int) -> None:
         self.random = random.Random(seed)
-        per_ms = self.customer.rate_tokens_per_s * factor / 1000
+        per_ms = self.hot.customer.rate_tokens_per_s * factor / 1000
         due = 0.0
         for now_ms in range(length_ms):
             for name in self.restarts.get(now_ms, ()):
@@ -76,17 +71,13 @@
                 due -= self.ask(now_ms)
 
     def ask(self, now_ms: int) -> int:
-        tokens = int(self.random.uniform(0.2, 1.8) * _MEAN_TOKENS)
+        tokens = int(self.random.uniform(0.2, 1.8) * MEAN_TOKENS)
         name = self.random.choice(self.names)
         if self.moving:
             name = self.names[now_ms // 3000 % len(self.names)]
         if self.is_frozen(name, now_ms):
             return tokens
-        self.asked += 1
-        if self.meters[name].take('hot', tokens, now_ms).is_ok():
-            self.granted.append((now_ms, tokens))
-        else:
-            self.refused += 1
+        self.hot.ask(self.meters[name], tokens, now_ms)
         return tokens
 
     def is_frozen(self, name: str, now_ms: int) -> bool:
@@ -120,16 +111,6 @@
             if not self.is_frozen(name, now_ms):
                 self.meters[name].hear(told, now_ms)
 
-    def most_in_window(self) -> int:
-        most = total = first = 0
-        for at_ms, tokens in self.granted:
-            total += tokens
-            while self.granted[first][0] <= at_ms - _WINDOW_MS:
-                total -= self.granted[first][1]
-                first += 1
-            most = max(most, total)
-        return most
-
 
 @given('{count:d} metering VMs and a customer of {rate:d} tokens/s')
 def metering_vms(context: Context, count: int, rate: int) -> None:
@@ -171,22 +152,12 @@
 
 @then('no window of 8 s holds more than its cap and {slack:d} tokens')
 def within_cap(context: Context, slack: int) -> None:
-    fleet = context.metering
-    customer = fleet.customer
-    entitled = customer.rate_tokens_per_s * _WINDOW_MS // 1000
-    bound = (entitled + customer.burst_tokens) * _OVERAGE + slack
-    most = fleet.most_in_window()
-    assert most <= bound, (most, bound)
-    assert most >= entitled // 2, 'The fleet hands out too little to test.'
+    context.metering.hot.check_windows(slack)
 
 
 @then('at most {most:d} in 100 of its requests are refused')
 def rarely_refused(context: Context, most: int) -> None:
-    fleet = context.metering
-    assert fleet.refused * 100 <= fleet.asked * most, (
-        fleet.refused,
-        fleet.asked,
-    )
+    context.metering.hot.check_refused(most)
 
 
 @when('the second tells of a customer unknown to the first and falls silent')
@@ -194,7 +165,7 @@
     fleet = context.metering
     first, second = (fleet.meters[name] for name in fleet.names)
     new = Customer('new', 1000, 1000)
-    second.configure({'hot': fleet.customer, 'new': new}, fleet.names)
+    second.configure({'hot': fleet.hot.customer, 'new': new}, fleet.names)
     assert second.take('new', 10, 0).is_ok()
     first.hear(second.report(), 10)
     assert first.take('hot', 10, 20).is_ok()
--- a/features/steps/spending_relays.py
+++ b/features/steps/spending_relays.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from baobabwharf_core.model import Customer, VmRecord
+from baobabwharf_core.model import VmRecord
 from baobabwharf_decisions.limits.shared_meter import SharedMeter
 from baobabwharf_decisions.limits.spending_relay import SpendingRelay
 from baobabwharf_decisions.membership.relay_choice import (
@@ -15,15 +15,13 @@
 )
 from behave import given, then, when
 from behave.runner import Context
+from hot_customer import MEAN_TOKENS, HotCustomer
 
 _REGIONS = ('north', 'south', 'west')
 _DISKS = 2
 _NEAR_MS = 4
 _FAR_MS = 55
 _PERIOD_MS = 100
-_MEAN_TOKENS = 5000
-_WINDOW_MS = 8000
-_OVERAGE = 1.1
 
 
 def vm(name: str, region: str, *, has_disk: bool) -> VmRecord:
@@ -34,7 +32,7 @@
     """Hold entry VMs with meters, disk VMs that relay, and the messages."""
 
     def __init__(self, count: int, rate: int) -> None:
-        self.customer = Customer('hot', rate, rate)
+        self.hot = HotCustomer(rate)
         self.entries = [
             vm(f'e{number:02}', _REGIONS[number % 3], has_disk=False)
             for number in range(count)
@@ -47,13 +45,12 @@
         self.names = [one.vm_id for one in self.entries]
         self.meters = {name: SharedMeter(name, 1) for name in self.names}
         for meter in self.meters.values():
-            meter.configure({'hot': self.customer}, self.names)
+            meter.configure({'hot': self.hot.customer}, self.names)
         self.choices = {name: RelayChoice() for name in self.names}
         self.relays = {name: SpendingRelay(name, 1) for name in self.records}
         self.under_way: list[tuple[int, int, Callable[[int], None]]] = []
         self.numbers = itertools.count()
-        self.granted: list[tuple[int, int]] = []
-        self.asked = self.refused = self.messages = 0
+        self.messages = 0
         self.loss = 0.0
         self.cut: tuple[int, int] = (0, 0)
         self.dead: dict[str, tuple[int, int]] = {}
@@ -82,18 +79,14 @@
             for name, phase in phases.items():
                 if (now_ms - phase) % _PERIOD_MS == 0:
                     self.tick(name, now_ms)
-            due += self.customer.rate_tokens_per_s * factor / 1000
+            due += self.hot.customer.rate_tokens_per_s * factor / 1000
             while due > 0:
                 due -= self.ask(now_ms)
 
     def ask(self, now_ms: int) -> int:
-        tokens = int(self.random.uniform(0.2, 1.8) * _MEAN_TOKENS)
+        tokens = int(self.random.uniform(0.2, 1.8) * MEAN_TOKENS)
         meter = self.meters[self.random.choice(self.names)]
-        self.asked += 1
-        if meter.take('hot', tokens, now_ms).is_ok():
-            self.granted.append((now_ms, tokens))
-        else:
-            self.refused += 1
+        self.hot.ask(meter, tokens, now_ms)
         return tokens
 
     def tick(self, name: str, now_ms: int) -> None:
@@ -158,16 +151,6 @@
         start_ms, end_ms = self.dead.get(name, (0, 0))
         return not start_ms <= now_ms < end_ms
 
-    def most_in_window(self) -> int:
-        most = total = first = 0
-        for at_ms, tokens in self.granted:
-            total += tokens
-            while self.granted[first][0] <= at_ms - _WINDOW_MS:
-                total -= self.granted[first][1]
-                first += 1
-            most = max(most, total)
-        return most
-
 
 @given('{count:d} relayed VMs and a customer of {rate:d} tokens/s')
 def relayed_vms(context: Context, count: int, rate: int) -> None:
@@ -188,21 +171,12 @@
 
 @then('no window of 8 s exceeds its cap by {slack:d} tokens')
 def within_cap(context: Context, slack: int) -> None:
-    fleet = context.relayed
-    customer = fleet.customer
-    entitled = customer.rate_tokens_per_s * _WINDOW_MS // 1000
-    bound = (entitled + customer.burst_tokens) * _OVERAGE + slack
-    most = fleet.most_in_window()
-    assert entitled // 2 <= most <= bound, (entitled, most, bound)
+    context.relayed.hot.check_windows(slack)
 
 
 @then('at most {most:d} in 100 of them are refused')
 def rarely_refused(context: Context, most: int) -> None:
-    fleet = context.relayed
-    assert fleet.refused * 100 <= fleet.asked * most, (
-        fleet.refused,
-        fleet.asked,
-    )
+    context.relayed.hot.check_refused(most)
 
 
 @then('a VM sends and gets at most {most:d} messages a second')
