Refuse a request that the drain of a stopping VM could cut

Cause: a stopping VM closed idle connections but took every request that came on any other connection, new ones included, until the drain ended; no decision compared the time left to the drain with the time that the request may take. The class of fault is a resource with an end that admits work without a look at that end.

Change: DrainWindow (pure) refuses, as not run and at once, a request whose deadline lies beyond the end of the drain. For the first 3 s callers are still taken: their cached addresses may name only VMs that stop. Requests forwarded by other VMs don't get that time, since those VMs learn by gossip that this one leaves; the refusal says that it concerns the VM and not its region, so the other VM backs off from the VM alone. Taken and refused requests are logged with the time left to the drain.

Ruled out: idle kept-alive connections (closed at the signal); the endpoint (its run ended with 'cut' after the VM had closed); the release of the VM (vm_stopped 20 ms after drain_ended). drain_ended counted the cut connections but could not tell taken late from taken early; the new lines do.

--- a/features/functional/platform_fleet.feature
+++ b/features/functional/platform_fleet.feature
@@ -40,3 +40,11 @@
     And an operator sends configuration 7 to the second disk VM
     And an endpoint registers at the third disk VM
     Then a request through each entry VM is run by the endpoint
+
+  Scenario: A request taken long after SIGTERM is not given up
+    Given a platform fleet of 3 disk VMs and 2 entry VMs, ports seed 5
+    When an operator sends configuration 7 to the first disk VM
+    And an endpoint registers at the first disk VM
+    And callers of 3 s requests use the first entry VM until it is gone
+    Then each request sent over 3 s after its SIGTERM is answered or refused as not run
+    And a refusal comes at once and tells the caller to close and try another VM
--- a/features/steps/platform_fleet.py
+++ b/features/steps/platform_fleet.py
@@ -54,6 +54,8 @@
                 if '/slow' in head:
                     await asyncio.sleep(1)
                 self.runs.append(fields['x-request-id'])
+                if '/long' in head:
+                    await asyncio.sleep(3)
                 writer.write(
                     b'HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n'
                     b'Content-Length: 3\r\nX-Request-Id: '
@@ -72,7 +74,7 @@
             'service': 's',
             'address': self.address,
             'zone': 'z-1',
-            'slots': 6,
+            'slots': 64,
             'state': state,
             'sequence': self.sequence,
             'born': 1,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -12,6 +12,7 @@
 
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.fleet_config import FleetConfig, VmRecord
+from baobabwharf_decisions.proxying.drain_window import STALE_ADDRESS_MS
 from baobabwharf_decisions.proxying.routes import RouteTable
 
 from baobabwharf_daemon.address_book import AddressBook
@@ -36,9 +37,6 @@
 from baobabwharf_daemon.vm_registration import VmRegistration
 
 _HOUSEKEEPING_S = 0.25
-# Callers with cached addresses still connect after a stop request, so an entry
-# VM keeps accepting connections for at least this time.
-_MIN_DRAIN_MS = 3000
 _STOP_POLL_S = 0.05
 # An entry VM that joins before it knows any endpoint would refuse all requests.
 # The wait is bounded because a new fleet has no endpoints yet.
@@ -185,6 +183,9 @@
             'vm_stopping', connections=self._caller_listener.connections
         )
         self._stop_requested.set()
+        self._context.drain.begin(
+            self._clock.now_ms(), self._settings.drain_deadline_ms
+        )
         self._limits.membership.announce_leaving()
 
     async def run_until_stopped(self) -> None:
@@ -230,7 +231,7 @@
         deadline_ms = begun_ms + self._settings.drain_deadline_ms
         while self._clock.now_ms() < deadline_ms:
             self._caller_listener.stop_idle()
-            min_time_over = self._clock.now_ms() - begun_ms >= _MIN_DRAIN_MS
+            min_time_over = self._clock.now_ms() - begun_ms >= STALE_ADDRESS_MS
             if (
                 min_time_over or not self.is_entry
             ) and not self._open_connections():
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -32,6 +32,8 @@
 FORWARD_HEADER = b'Baobabwharf-Forward'
 OUTCOME_HEADER = b'Baobabwharf-Outcome'
 RETRY_HEADER = b'Baobabwharf-Retry-Ms'
+# Marks a refusal that concerns the stopping VM only, not its region.
+STOPPING_HEADER = b'Baobabwharf-Stopping'
 NOT_RUN = b'not_run'
 MAY_HAVE_RUN = b'may_have_run'
 HEAD = b'HEAD'
@@ -85,6 +87,7 @@
         self._load_counted = False
         self.destination = destination
         self.reused = False
+        self.vm_stopping = False
         self.sent_ms: int | None = None
 
     async def open(
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -36,6 +36,7 @@
     NOT_RUN,
     OUTCOME_HEADER,
     RETRY_HEADER,
+    STOPPING_HEADER,
 )
 from baobabwharf_daemon.proxy.http_call import HttpCall
 from baobabwharf_daemon.proxy.http_messages import Header, RequestMetadata
@@ -94,7 +95,9 @@
         if prepared.is_error():
             self._refuse(call, metadata, prepared.error)
             return
-        refusal = await self._run_charged(call, prepared.ok)
+        refusal = self._refuse_while_stopping(prepared.ok.plan)
+        if refusal is None:
+            refusal = await self._run_charged(call, prepared.ok)
         if refusal is not None:
             self._refuse(call, metadata, refusal)
         self._record_end(metadata, prepared.ok.plan, refusal, started_ms)
@@ -120,12 +123,32 @@
         plan = build_plan(
             metadata, self._context.clock.now_ms(), forwarded=True
         )
+        stopping = self._refuse_while_stopping(plan)
+        if stopping is not None:
+            return stopping
         self._context.retry_budget.note_request(metadata.service)
         service = table.find_service(metadata.service)
         if service is None:
             return Refusal(RefusalCode.VM_NOT_READY)
         return await RequestHandler(self._context, call, plan, service).run()
 
+    def _refuse_while_stopping(self, plan: RequestPlan) -> Refusal | None:
+        """Return a refusal if the drain of this VM could cut the request."""
+        drain = self._context.drain
+        now_ms = self._context.clock.now_ms()
+        refusal = drain.refusal(
+            plan.deadline_ms, now_ms, forwarded=plan.forwarded
+        )
+        if drain.stopping and refusal is None:
+            self._context.log.record(
+                'taken_while_stopping',
+                request=plan.metadata.request_id,
+                forwarded=plan.forwarded,
+                drain_left_ms=drain.left_ms(now_ms),
+                left_ms=plan.deadline_ms - now_ms,
+            )
+        return refusal
+
     async def _run_charged(
         self, call: HttpCall, prepared: PreparedRequest
     ) -> Refusal | None:
@@ -293,6 +316,8 @@
     headers: list[Header] = [
         (OUTCOME_HEADER, NOT_RUN if not_run else MAY_HAVE_RUN)
     ]
+    if refusal.code is RefusalCode.VM_STOPPING:
+        headers.append((STOPPING_HEADER, b'1'))
     if refusal.retry_after_ms is not None:
         headers.append((RETRY_HEADER, b'%d' % refusal.retry_after_ms))
     call.respond(refusal.status, b'Refused', headers, b'')
--- a/packages/daemon/src/baobabwharf_daemon/proxy/proxy_context.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/proxy_context.py
@@ -3,6 +3,7 @@
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.fleet_config import FleetConfig
 from baobabwharf_decisions.membership.proxy_vms import entry_vms
+from baobabwharf_decisions.proxying.drain_window import DrainWindow
 from baobabwharf_decisions.proxying.retry_budget import VmRetryBudget
 
 from baobabwharf_daemon.decision_log import DecisionLog
@@ -30,6 +31,7 @@
         self.log = log
         self.pool = ConnectionPool(clock)
         self.retry_budget = VmRetryBudget()
+        self.drain = DrainWindow()
 
     def apply_config(self, config: FleetConfig) -> None:
         """Apply the number of entry VMs that share the retry budget."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -12,6 +12,7 @@
 from baobabwharf_daemon.proxy.attempt import (
     HEAD,
     RETRY_HEADER,
+    STOPPING_HEADER,
     Attempt,
     OpenedResponse,
     ResponseBody,
@@ -187,7 +188,8 @@
 
     def _exclude(self, destination: AttemptTarget, attempt: Attempt) -> None:
         regions = self._context.selector.regions
-        if destination.vm_id is not None and attempt.sent_ms is None:
+        unreachable = attempt.sent_ms is None or attempt.vm_stopping
+        if destination.vm_id is not None and unreachable:
             regions.note_unreachable(destination.vm_id)
         elif destination.record is None:
             refused = self._exclusions.regions | {destination.region}
@@ -218,6 +220,8 @@
                 attempt.destination.record.endpoint_id, 'misdirected'
             )
         if opened.kind is ResponseKind.REGION_REFUSED:
+            stopping = opened.head.header(STOPPING_HEADER.lower())
+            attempt.vm_stopping = stopping is not None
             value = opened.head.header(RETRY_HEADER.lower())
             self._retry_after_ms = int(value) if value else None
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
