Log the prompt parts and progress of broken answers

stream_broken and attempt_ended now name the parts of the prompt, the bytes received and the time since the send.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -180,7 +180,8 @@
                 address=destination.address,
                 region=destination.region,
                 reused=attempt.reused,
-                took_ms=now_ms - (attempt.sent_ms or now_ms),
+                took_ms=self._took_ms(attempt),
+                parts=self._part_ids(),
             )
         if ended is AttemptEnd.NOT_SENT and load is not None:
             load.back_off(now_ms)
@@ -305,21 +306,37 @@
             head.status, head.reason, _response_headers(head), head.length
         )
         self._call.write(first)
+        received_bytes = len(first)
         while True:
             block = await opened.connection.read_block()
             attempt.mark_prefilled()
             if isinstance(block, ResponseLoss):
-                self._log('stream_broken', reason=block.value)
+                self._log(
+                    'stream_broken',
+                    reason=block.value,
+                    address=attempt.destination.address,
+                    received_bytes=received_bytes,
+                    took_ms=self._took_ms(attempt),
+                    parts=self._part_ids(),
+                )
                 self._plan.abort_reason = 'stream_broken'
                 self._call.abort()
                 return
             if not block:
                 break
+            received_bytes += len(block)
             self._call.write(block)
             await self._call.drain()
         attempt.mark_complete()
         self._call.finish()
 
+    def _took_ms(self, attempt: Attempt) -> int:
+        now_ms = self._context.clock.now_ms()
+        return now_ms - (attempt.sent_ms or now_ms)
+
+    def _part_ids(self) -> list[str]:
+        return [part.part_id for part in self._plan.metadata.prompt]
+
     def _log(self, event: str, **fields: object) -> None:
         self._context.log.record(
             event, request=self._plan.metadata.request_id, **fields
