--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
@@ -0,0 +1,228 @@
+"""Count the crashes that a prompt part may have caused.
+
+A part is suspected of a crash if an unproved request with it was on the
+crashed endpoint.  It is cleared if a request with it is answered later, since a
+deadly part crashes each endpoint that begins to answer.
+"""
+
+from collections import OrderedDict
+from collections.abc import Container, Iterable, Sequence
+from typing import final
+
+import msgspec
+
+from baobabwharf_decisions.proxying.crash_report import (
+    CrashKey,
+    ReportedCrash,
+    ReportedProof,
+)
+from baobabwharf_decisions.proxying.prompt_cache import Prompt
+
+# A deadly part that is asked for less often than this does little harm.
+EVIDENCE_WINDOW_MS = 60_000
+# Losing a zone or link takes many endpoints at once; VMs notice within a round
+# trip between regions and a scheduling delay.
+SIMULTANEOUS_MS = 250
+_MAX_CRASHES = 64
+_MAX_PARTS_OF_CRASH = 128
+# The caps on what is reported keep a report in one datagram.
+_REPORTED_CRASHES = 6
+_REPORTED_PARTS = 64
+_REPORTED_PROOFS = 32
+
+
+def shared_part_ids(prompt: Prompt) -> list[str]:
+    """Return the parts that other prompts may hold: all except the last."""
+    return [part.part_id for part in prompt[:-1]]
+
+
+class _Crash(msgspec.Struct):
+    at_ms: int
+    own_parts: dict[str, None]
+    parts: dict[str, None]
+
+
+@final
+class CrashEvidence:
+    """Hold the crashes of the last minute and the proofs of their suspects."""
+
+    def __init__(self) -> None:
+        self._crashes: OrderedDict[CrashKey, _Crash] = OrderedDict()
+        self._keys_by_part: dict[str, dict[CrashKey, None]] = {}
+        self._own_proof_ms: dict[str, int] = {}
+        self._proof_ms: dict[str, int] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no crash is held."""
+        return not self._crashes
+
+    def add_own(
+        self,
+        key: CrashKey,
+        suspects: Sequence[Prompt],
+        now_ms: int,
+    ) -> bool:
+        """Add a crash that this VM noticed; return whether it is news."""
+        part_ids = [
+            part_id
+            for prompt in suspects
+            for part_id in shared_part_ids(prompt)
+        ]
+        changed = self._add(key, part_ids, now_ms)
+        crash = self._crashes[key]
+        known = len(crash.own_parts)
+        crash.own_parts.update(
+            (part_id, None) for part_id in part_ids if part_id in crash.parts
+        )
+        return changed or len(crash.own_parts) > known
+
+    def add_reported(self, reported: ReportedCrash, now_ms: int) -> bool:
+        """Add a crash that another VM noticed; return whether it is news."""
+        if reported.age_ms > EVIDENCE_WINDOW_MS:
+            return False
+        key = (reported.endpoint_id, reported.incarnation)
+        return self._add(key, reported.part_ids, now_ms - reported.age_ms)
+
+    def note_proofs(self, prompt: Prompt, now_ms: int) -> list[str]:
+        """Clear the suspects among the parts; return those newly cleared."""
+        cleared = []
+        for part in prompt[:-1]:
+            if part.part_id in self._keys_by_part:
+                if self.unproved(part.part_id):
+                    cleared.append(part.part_id)
+                self._own_proof_ms[part.part_id] = now_ms
+                self._note_proof(part.part_id, now_ms)
+        return cleared
+
+    def note_reported_proof(self, part_id: str, at_ms: int) -> None:
+        """Clear a suspect that was proved on another VM."""
+        if part_id in self._keys_by_part:
+            self._note_proof(part_id, at_ms)
+
+    def suspects(self, key: CrashKey) -> Iterable[str]:
+        """Return the parts that were on the crashed endpoint."""
+        return tuple(self._crashes[key].parts)
+
+    def crash_ms(self, key: CrashKey) -> int:
+        """Return when the crash was noticed first."""
+        return self._crashes[key].at_ms
+
+    def happened_by(self, key: CrashKey, at_ms: int) -> bool:
+        """Return whether a crash that is held came no later than a time."""
+        crash = self._crashes.get(key)
+        return crash is not None and crash.at_ms <= at_ms
+
+    def keys(self) -> tuple[CrashKey, ...]:
+        """Return the crashes held."""
+        return tuple(self._crashes)
+
+    def unproved(self, part_id: str) -> list[CrashKey]:
+        """Return the crashes after the last proof of a part, oldest first."""
+        proved_ms = self._proof_ms.get(part_id)
+        keys = [
+            key
+            for key in self._keys_by_part.get(part_id, ())
+            if proved_ms is None or self._crashes[key].at_ms > proved_ms
+        ]
+        return sorted(keys, key=lambda key: (self._crashes[key].at_ms, key))
+
+    def counted(
+        self,
+        part_id: str,
+        explained: Container[CrashKey],
+        freed_ms: int | None,
+    ) -> list[CrashKey]:
+        """Return the crashes that count against a part, oldest first.
+
+        Those before the part was freed are ignored, and those at about the same
+        time count as one.
+        """
+        counted: list[CrashKey] = []
+        group_ms: int | None = None
+        for key in self.unproved(part_id):
+            at_ms = self._crashes[key].at_ms
+            is_old = freed_ms is not None and at_ms <= freed_ms
+            if is_old or key in explained:
+                continue
+            if group_ms is None or at_ms - group_ms > SIMULTANEOUS_MS:
+                counted.append(key)
+                group_ms = at_ms
+        return counted
+
+    def reported_crashes(self, now_ms: int) -> tuple[ReportedCrash, ...]:
+        """Return this VM's crashes, without parts that were cleared since."""
+        reported: list[ReportedCrash] = []
+        parts_left = _REPORTED_PARTS
+        for key, crash in reversed(self._crashes.items()):
+            part_ids = self._unproved_parts(crash)[:parts_left]
+            if part_ids and len(reported) < _REPORTED_CRASHES:
+                parts_left -= len(part_ids)
+                age_ms = now_ms - crash.at_ms
+                reported.append(ReportedCrash(*key, age_ms, tuple(part_ids)))
+        return tuple(reported)
+
+    def reported_proofs(self, now_ms: int) -> tuple[ReportedProof, ...]:
+        """Return this VM's proofs, those of parts in most crashes first."""
+        part_ids = sorted(
+            self._own_proof_ms,
+            key=lambda part_id: len(self._keys_by_part[part_id]),
+            reverse=True,
+        )
+        return tuple(
+            ReportedProof(part_id, now_ms - self._own_proof_ms[part_id])
+            for part_id in part_ids[:_REPORTED_PROOFS]
+        )
+
+    def drop_expired(self, now_ms: int) -> None:
+        """Drop crashes that are older than the window."""
+        for key, crash in tuple(self._crashes.items()):
+            if now_ms - crash.at_ms > EVIDENCE_WINDOW_MS:
+                self._drop(key)
+
+    def _add(self, key: CrashKey, part_ids: Iterable[str], at_ms: int) -> bool:
+        changed = key not in self._crashes
+        if changed:
+            self._crashes[key] = _Crash(at_ms, {}, {})
+            if len(self._crashes) > _MAX_CRASHES:
+                self._drop(
+                    min(
+                        self._crashes,
+                        key=lambda old: (self._crashes[old].at_ms, old != key),
+                    )
+                )
+                if key not in self._crashes:
+                    self._crashes[key] = _Crash(at_ms, {}, {})
+        crash = self._crashes[key]
+        crash.at_ms = min(crash.at_ms, at_ms)
+        for part_id in part_ids:
+            if part_id in crash.parts:
+                continue
+            if len(crash.parts) < _MAX_PARTS_OF_CRASH:
+                crash.parts[part_id] = None
+                self._keys_by_part.setdefault(part_id, {})[key] = None
+                changed = True
+        return changed
+
+    def _note_proof(self, part_id: str, at_ms: int) -> None:
+        self._proof_ms[part_id] = max(at_ms, self._proof_ms.get(part_id, at_ms))
+
+    def _unproved_parts(self, crash: _Crash) -> list[str]:
+        unproved = [
+            part_id
+            for part_id in crash.own_parts
+            if self._proof_ms.get(part_id, crash.at_ms - 1) < crash.at_ms
+        ]
+        unproved.sort(
+            key=lambda part_id: len(self._keys_by_part[part_id]), reverse=True
+        )
+        return unproved
+
+    def _drop(self, key: CrashKey) -> None:
+        for part_id in self._crashes.pop(key).parts:
+            keys = self._keys_by_part[part_id]
+            keys.pop(key)
+            if not keys:
+                self._keys_by_part.pop(part_id)
+                self._proof_ms.pop(part_id, None)
+                self._own_proof_ms.pop(part_id, None)
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_report.py
@@ -0,0 +1,64 @@
+"""Describe evidence about prompt parts that crash endpoints.
+
+Reports hold ages instead of times, since the clocks of VMs differ.
+"""
+
+import msgspec
+from baobabwharf_core.ids import EndpointId
+
+CrashKey = tuple[EndpointId, int]
+
+
+class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """Name a crashed endpoint and the unproved parts that were on it."""
+
+    endpoint_id: EndpointId
+    incarnation: int
+    age_ms: int
+    part_ids: tuple[str, ...]
+
+
+class ReportedProof(msgspec.Struct, frozen=True, array_like=True):
+    """Tell when an answer to a prompt with this part last went on."""
+
+    part_id: str
+    age_ms: int
+
+
+class ReportedQuarantine(msgspec.Struct, frozen=True, array_like=True):
+    """Describe the quarantine of a part.
+
+    An episode ends when a proof frees the part; the next quarantine of the part
+    has a higher episode.
+    """
+
+    part_id: str
+    episode: int
+    crashes: tuple[CrashKey, ...]
+    age_ms: int
+    freed_age_ms: int | None
+    is_watched: bool
+
+
+class ReportedProbe(msgspec.Struct, frozen=True, array_like=True):
+    """Announce the trial of a quarantined part; the order tells which one."""
+
+    part_id: str
+    order: tuple[int, int]
+    age_ms: int
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """Hold what a VM tells the others; a later report may repeat it."""
+
+    crashes: tuple[ReportedCrash, ...] = ()
+    proofs: tuple[ReportedProof, ...] = ()
+    quarantines: tuple[ReportedQuarantine, ...] = ()
+    probes: tuple[ReportedProbe, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to send."""
+        return not (
+            self.crashes or self.proofs or self.quarantines or self.probes
+        )
--- /dev/null
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
@@ -0,0 +1,226 @@
+"""Hold prompt parts in quarantine and try them again after a time.
+
+All VMs share the quarantines.  Merging two copies keeps the later episode;
+within an episode it joins the crashes, and a part that was freed stays free, so
+that reports may be lost, repeated and reordered.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import final
+
+import msgspec
+
+from baobabwharf_decisions.proxying.crash_report import (
+    CrashKey,
+    ReportedQuarantine,
+)
+
+# Crashes in which a part has to be suspected before it is quarantined.
+BLAME_CRASHES = 3
+# The wait before the first trial; each further crash doubles it.
+_FIRST_HOLD_MS = 30_000
+_MAX_HOLD_MS = 600_000
+# Crashes after which a part that was freed is blamed sooner.
+_WATCH_MS = 600_000
+# A quarantine that nobody tries ends this long after its hold.
+_UNTRIED_MS = 600_000
+_MAX_QUARANTINES = 64
+# More crashes don't lengthen the hold.
+_MAX_LISTED_CRASHES = 8
+# An entry about to expire is not taken over from another VM, which may count
+# its age from a later time; otherwise two VMs could keep it alive.
+_EXPIRY_MARGIN_MS = 5_000
+_REPORTED_QUARANTINES = 8
+
+
+class Quarantine(msgspec.Struct):
+    """Hold one episode of a part; times are of the local clock."""
+
+    part_id: str
+    episode: int
+    crashes: dict[CrashKey, None]
+    blamed_ms: int
+    freed_ms: int | None = None
+    is_watched: bool = False
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether requests with the part are refused."""
+        return self.freed_ms is None
+
+    @property
+    def strikes(self) -> int:
+        """Return 1 for the first blame and one more for each later crash."""
+        return max(1, len(self.crashes) - BLAME_CRASHES + 1)
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return which hold of the part this is."""
+        return (self.episode, self.strikes)
+
+    @property
+    def due_ms(self) -> int:
+        """Return when the part may be tried again."""
+        hold_ms = _FIRST_HOLD_MS << (self.strikes - 1)
+        return self.blamed_ms + min(hold_ms, _MAX_HOLD_MS)
+
+    @property
+    def expires_ms(self) -> int:
+        """Return when the entry may be forgotten."""
+        if self.freed_ms is None:
+            return self.due_ms + _UNTRIED_MS
+        return self.freed_ms + _WATCH_MS
+
+
+@final
+class QuarantineTable:
+    """Hold the quarantines of all parts, by their ids."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Quarantine] = {}
+        self._active_count = 0
+
+    @property
+    def has_active(self) -> bool:
+        """Return whether any part is refused."""
+        return self._active_count > 0
+
+    def active(self, part_id: str) -> Quarantine | None:
+        """Return the quarantine of a part that is refused."""
+        entry = self._entries.get(part_id)
+        return entry if entry is not None and entry.is_active else None
+
+    def find(self, part_id: str) -> Quarantine | None:
+        """Return the last quarantine of a part."""
+        return self._entries.get(part_id)
+
+    def entries(self) -> Iterator[Quarantine]:
+        """Iterate over all quarantines."""
+        return iter(self._entries.values())
+
+    def crashes_to_blame(self, part_id: str) -> int:
+        """Return how many crashes quarantine a part."""
+        entry = self._entries.get(part_id)
+        if entry is None or entry.is_active or not entry.is_watched:
+            return BLAME_CRASHES
+        return max(1, BLAME_CRASHES - entry.strikes)
+
+    def blame(
+        self, part_id: str, crashes: Iterable[CrashKey], at_ms: int
+    ) -> None:
+        """Begin the next episode of a part; a watched one keeps its strikes."""
+        before = self._entries.get(part_id)
+        listed: dict[CrashKey, None] = {}
+        episode = 1
+        if before is not None:
+            episode = before.episode + 1
+            if before.is_watched:
+                listed.update(before.crashes)
+        listed.update(dict.fromkeys(crashes))
+        self._entries[part_id] = Quarantine(
+            part_id, episode, _newest(listed), at_ms
+        )
+        self._evict()
+
+    def strike(self, entry: Quarantine, key: CrashKey, at_ms: int) -> bool:
+        """Add a crash to an active quarantine; return whether it is new."""
+        if key in entry.crashes:
+            return False
+        entry.crashes = _newest({**entry.crashes, key: None})
+        entry.blamed_ms = max(entry.blamed_ms, at_ms)
+        return True
+
+    def free(self, entry: Quarantine, at_ms: int) -> None:
+        """End the episode; a part that was tried after its hold is watched."""
+        entry.freed_ms = at_ms
+        entry.is_watched = entry.strikes > 1 or at_ms >= entry.due_ms
+        self._recount()
+
+    def merge(self, reported: ReportedQuarantine, now_ms: int) -> None:
+        """Take over what another VM knows of a part."""
+        entry = _from_report(reported, now_ms)
+        known = self._entries.get(entry.part_id)
+        if known is None or entry.episode > known.episode:
+            if entry.expires_ms - now_ms > _EXPIRY_MARGIN_MS:
+                self._entries[entry.part_id] = entry
+        elif entry.episode == known.episode:
+            _join(known, entry)
+        self._evict()
+
+    def reported(self, now_ms: int) -> tuple[ReportedQuarantine, ...]:
+        """Return the quarantines to report, the newest first."""
+        entries = sorted(
+            self._entries.values(),
+            key=lambda entry: (entry.is_active, entry.blamed_ms),
+            reverse=True,
+        )
+        return tuple(
+            ReportedQuarantine(
+                entry.part_id,
+                entry.episode,
+                tuple(entry.crashes),
+                now_ms - entry.blamed_ms,
+                None if entry.freed_ms is None else now_ms - entry.freed_ms,
+                entry.is_watched,
+            )
+            for entry in entries[:_REPORTED_QUARANTINES]
+        )
+
+    def drop_expired(self, now_ms: int) -> None:
+        """Forget entries that nobody needs any more."""
+        for entry in tuple(self._entries.values()):
+            if entry.expires_ms <= now_ms:
+                self._entries.pop(entry.part_id)
+        self._recount()
+
+    def _evict(self) -> None:
+        if len(self._entries) > _MAX_QUARANTINES:
+            oldest = min(
+                self._entries.values(),
+                key=lambda entry: (entry.is_active, entry.blamed_ms),
+            )
+            self._entries.pop(oldest.part_id)
+        self._recount()
+
+    def _recount(self) -> None:
+        self._active_count = sum(
+            entry.is_active for entry in self._entries.values()
+        )
+
+
+def _newest(crashes: dict[CrashKey, None]) -> dict[CrashKey, None]:
+    return dict.fromkeys(tuple(crashes)[-_MAX_LISTED_CRASHES:])
+
+
+def _from_report(reported: ReportedQuarantine, now_ms: int) -> Quarantine:
+    freed_age_ms = reported.freed_age_ms
+    return Quarantine(
+        reported.part_id,
+        reported.episode,
+        dict.fromkeys(
+            (endpoint_id, incarnation)
+            for endpoint_id, incarnation in reported.crashes
+        ),
+        now_ms - reported.age_ms,
+        None if freed_age_ms is None else now_ms - freed_age_ms,
+        reported.is_watched,
+    )
+
+
+def _join(known: Quarantine, other: Quarantine) -> None:
+    has_more = known.crashes.keys() - other.crashes.keys()
+    lacks = other.crashes.keys() - known.crashes.keys()
+    if lacks:
+        # Sorted, so that all VMs keep the same crashes at the cap.
+        merged = sorted(known.crashes.keys() | other.crashes.keys())
+        known.crashes = _newest(dict.fromkeys(merged))
+        known.blamed_ms = (
+            max(known.blamed_ms, other.blamed_ms)
+            if has_more
+            else other.blamed_ms
+        )
+    elif not has_more:
+        known.blamed_ms = min(known.blamed_ms, other.blamed_ms)
+    if other.freed_ms is not None:
+        known.freed_ms = min(other.freed_ms, known.freed_ms or other.freed_ms)
+        known.is_watched = known.is_watched or other.is_watched
--- /dev/null
+++ b/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
@@ -0,0 +1,434 @@
+"""Simulate VMs that look for the prompt parts that crash their endpoints."""
+
+import sys
+from collections import Counter
+from collections.abc import Callable
+from typing import final
+
+import msgspec
+from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_decisions.proxying.crash_blame import (
+    CrashBlame,
+    VerdictAction,
+)
+from baobabwharf_decisions.proxying.crash_report import CrashReport
+from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptPart
+
+from baobabwharf_testkit.limits_fleet import vm_regions
+from baobabwharf_testkit.limits_simulation import Simulation, VmClock
+
+_MS = 1000
+_S = 1_000_000
+_EXCHANGE_MS = 20
+_RESEND_MS = 500
+_POPULAR_PARTS = 3
+_SESSIONS = 30
+
+
+class BlamePlan(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one run; times are in seconds."""
+
+    vms: int = 6
+    endpoints: int = 6
+    seconds: int = 20
+    loss: float = 0.1
+    # That a report is sent twice, and that it arrives up to 2 s late.
+    disorder: float = 0
+    sound_per_s: float = 20
+    # The spells of each deadly part: part, from, until.
+    spells: tuple[tuple[str, float, float], ...] = (('bad-0', 2, 1e6),)
+    deadly_per_s: float = 2
+    # A part that each request with a deadly part holds too.
+    companion: str | None = None
+    companion_sound_per_s: float = 0
+    # Times of crashes without a deadly part: time, number of endpoints.
+    other_crashes: tuple[tuple[float, int], ...] = ()
+    restarted_vm_at: float | None = None
+    partitioned_vm: tuple[float, float] | None = None
+
+
+class BlameOutcome(msgspec.Struct):
+    """Hold what a run counted; times are in ms."""
+
+    crashes: Counter[str] = msgspec.field(default_factory=Counter)
+    crash_ms: dict[str, list[int]] = msgspec.field(default_factory=dict)
+    named_ms: dict[str, int] = msgspec.field(default_factory=dict)
+    named_at_crash: dict[str, int] = msgspec.field(default_factory=dict)
+    sends_ms: dict[str, list[int]] = msgspec.field(default_factory=dict)
+    probes_ms: dict[str, list[int]] = msgspec.field(default_factory=dict)
+    served: int = 0
+    sound: int = 0
+    wrongly_refused: int = 0
+    wrongly_refused_parts: Counter[str] = msgspec.field(default_factory=Counter)
+    last_wrong_refusal_ms: int = 0
+    largest_report_bytes: int = 0
+
+    def sends_after(self, part_id: str, at_ms: int) -> list[int]:
+        """Return the sends of a part that were not trials after a time."""
+        probes = set(self.probes_ms.get(part_id, ()))
+        return [
+            sent_ms
+            for sent_ms in self.sends_ms.get(part_id, ())
+            if sent_ms > at_ms and sent_ms not in probes
+        ]
+
+
+class _Request(msgspec.Struct, eq=False):
+    prompt: Prompt
+    vm_id: str
+    is_proved: bool = False
+
+
+@final
+class _Endpoint:
+    def __init__(self, endpoint_id: str) -> None:
+        self.endpoint_id = EndpointId(endpoint_id)
+        self.incarnation = 1
+        self.is_up = True
+        self.requests: dict[_Request, None] = {}
+
+
+@final
+class BlameFleet:
+    """Run the VMs, their endpoints and callers."""
+
+    def __init__(self, plan: BlamePlan, seed: int) -> None:
+        self.plan = plan
+        self.outcome = BlameOutcome()
+        self.simulation = Simulation(seed)
+        self._rng = self.simulation.rng
+        self._regions = vm_regions(plan.vms)
+        self._clocks = {
+            vm_id: VmClock(0, self._rng.randrange(1, 1000) * _S)
+            for vm_id in self._regions
+        }
+        self.cores = {vm_id: CrashBlame(VmId(vm_id)) for vm_id in self._regions}
+        self._endpoints = [
+            _Endpoint(f'endpoint-{index}') for index in range(plan.endpoints)
+        ]
+        self._prompts = 0
+        self._schedule()
+
+    @property
+    def now_ms(self) -> int:
+        """Return the true time in ms."""
+        return self.simulation.now_us // _MS
+
+    def run(self) -> BlameOutcome:
+        """Play the whole plan."""
+        self.simulation.run(self.plan.seconds * _S)
+        return self.outcome
+
+    def vm_ms(self, vm_id: str) -> int:
+        """Return the time of a VM's clock."""
+        return self._clocks[vm_id].read_ms(self.simulation.now_us)
+
+    def refusing_vms(self, part_id: str) -> list[str]:
+        """Return the VMs that hold a part in quarantine."""
+        return [
+            vm_id
+            for vm_id, core in self.cores.items()
+            if core.explain(part_id, self.vm_ms(vm_id)) is not None
+        ]
+
+    def _schedule(self) -> None:
+        plan = self.plan
+        for vm_id in self._regions:
+            offset_us = self._rng.randrange(_EXCHANGE_MS * _MS)
+            self.simulation.call_later(
+                offset_us, _Repeated(self, vm_id).exchange
+            )
+        self._repeat(plan.sound_per_s, self._send_sound)
+        if plan.companion is not None:
+            self._repeat(plan.companion_sound_per_s, self._send_companion)
+        for index, (part_id, start_s, _end_s) in enumerate(plan.spells):
+            if part_id not in {spell[0] for spell in plan.spells[:index]}:
+                self.simulation.call_at(
+                    int(start_s * _S), self._deadly_caller(part_id)
+                )
+        for at_s, count in plan.other_crashes:
+            self.simulation.call_at(int(at_s * _S), self._other_crash(count))
+        if plan.restarted_vm_at is not None:
+            self.simulation.call_at(
+                int(plan.restarted_vm_at * _S), self._restart_vm
+            )
+
+    def _repeat(self, per_s: float, action: Callable[[], None]) -> None:
+        if per_s > 0:
+            _Poisson(self.simulation, per_s, action).wait()
+
+    def _deadly_caller(self, part_id: str) -> Callable[[], None]:
+        def begin() -> None:
+            self._repeat(
+                self.plan.deadly_per_s, lambda: self._send_deadly(part_id)
+            )
+
+        return begin
+
+    def _other_crash(self, count: int) -> Callable[[], None]:
+        def crash() -> None:
+            up = [each for each in self._endpoints if each.is_up]
+            for endpoint in self._rng.sample(up, min(count, len(up))):
+                self.crash(endpoint)
+
+        return crash
+
+    def _restart_vm(self) -> None:
+        vm_id = next(iter(self.cores))
+        self.cores[vm_id] = CrashBlame(VmId(vm_id))
+        self._clocks[vm_id] = VmClock(0, self._rng.randrange(1, 1000) * _S)
+
+    def _send_sound(self) -> None:
+        self.send(self._prompt((f'document-{self._rng.randrange(100)}',)))
+
+    def _send_companion(self) -> None:
+        self.send(self._prompt((str(self.plan.companion),)))
+
+    def _send_deadly(self, part_id: str) -> None:
+        companion = self.plan.companion
+        before = () if companion is None else (companion,)
+        self.send(self._prompt((*before, part_id)))
+
+    def _prompt(self, middle: tuple[str, ...]) -> Prompt:
+        self._prompts += 1
+        names = (
+            f'popular-{self._rng.randrange(_POPULAR_PARTS)}',
+            f'session-{self._rng.randrange(_SESSIONS)}',
+            *middle,
+            f'last-{self._prompts}',
+        )
+        return tuple(PromptPart(name, 100) for name in names)
+
+    def send(self, prompt: Prompt, retries: int = 1) -> None:
+        """Ask a random VM to serve a prompt."""
+        vm_id = self._rng.choice(tuple(self.cores))
+        core = self.cores[vm_id]
+        deadly = self.deadly_part(prompt)
+        verdict = core.verdict(prompt, self.vm_ms(vm_id))
+        outcome = self.outcome
+        outcome.sound += deadly is None
+        if verdict.action is VerdictAction.REFUSE:
+            if deadly is None:
+                outcome.wrongly_refused += 1
+                outcome.wrongly_refused_parts[str(verdict.part_id)] += 1
+                outcome.last_wrong_refusal_ms = self.now_ms
+            return
+        up = [endpoint for endpoint in self._endpoints if endpoint.is_up]
+        if not up:
+            return
+        if verdict.part_id is not None:
+            core.note_probe(verdict.part_id, self.vm_ms(vm_id))
+            outcome.probes_ms.setdefault(verdict.part_id, []).append(
+                self.now_ms
+            )
+        for part in prompt[:-1]:
+            if part.part_id.startswith('bad'):
+                outcome.sends_ms.setdefault(part.part_id, []).append(
+                    self.now_ms
+                )
+        endpoint = self._rng.choice(up)
+        _Attempt(self, endpoint, _Request(prompt, vm_id), retries).start()
+
+    def deadly_part(self, prompt: Prompt) -> str | None:
+        """Return the part of a prompt that is deadly now."""
+        now_s = self.now_ms / 1000
+        for part in prompt[:-1]:
+            for part_id, start_s, end_s in self.plan.spells:
+                if part.part_id == part_id and start_s <= now_s < end_s:
+                    return part_id
+        return None
+
+    def crash(self, endpoint: _Endpoint, deadly: str | None = None) -> None:
+        """Cut the connections of an endpoint and start it again later."""
+        if deadly is not None:
+            self.outcome.crashes[deadly] += 1
+            self.outcome.crash_ms.setdefault(deadly, []).append(self.now_ms)
+        endpoint.is_up = False
+        incarnation = endpoint.incarnation
+        for request in endpoint.requests:
+            delay_us = self._rng.randrange(_MS, 40 * _MS)
+            self.simulation.call_later(
+                delay_us, _Loss(self, endpoint, incarnation, request).note
+            )
+        endpoint.requests = {}
+        self.simulation.call_later(
+            self._rng.randrange(3 * _S, 6 * _S), _Restart(endpoint).start
+        )
+
+    def exchange(self, vm_id: str, is_resend: bool) -> None:
+        """Send a VM's report to all others if there is something to send."""
+        core = self.cores[vm_id]
+        now_ms = self.vm_ms(vm_id)
+        core.drop_expired(now_ms)
+        if not (core.changed or is_resend):
+            return
+        report = core.report(now_ms)
+        if report.is_empty:
+            return
+        encoded = msgspec.msgpack.encode(report)
+        self.outcome.largest_report_bytes = max(
+            self.outcome.largest_report_bytes, len(encoded)
+        )
+        for other in self.cores:
+            if other != vm_id:
+                self._send_report(vm_id, other, encoded)
+
+    def note_named(self) -> None:
+        """Record which deadly parts some VM refuses."""
+        for part_id, crash_ms in self.outcome.crash_ms.items():
+            if part_id not in self.outcome.named_ms and self.refusing_vms(
+                part_id
+            ):
+                self.outcome.named_ms[part_id] = self.now_ms
+                self.outcome.named_at_crash[part_id] = len(crash_ms)
+
+    def _send_report(self, source: str, to: str, encoded: bytes) -> None:
+        rng = self._rng
+        if self._is_partitioned(source, to) or rng.random() < self.plan.loss:
+            return
+        is_near = self._regions[source] == self._regions[to]
+        delay_us = (2 if is_near else 55) * _MS
+        if rng.random() < self.plan.disorder:
+            self.simulation.call_later(
+                rng.randrange(2 * _S),
+                _Delivery(self, source, to, encoded).apply,
+            )
+        if rng.random() < self.plan.disorder:
+            delay_us = rng.randrange(2 * _S)
+        self.simulation.call_later(
+            delay_us, _Delivery(self, source, to, encoded).apply
+        )
+
+    def _is_partitioned(self, source: str, to: str) -> bool:
+        if self.plan.partitioned_vm is None:
+            return False
+        start_s, end_s = self.plan.partitioned_vm
+        return start_s <= self.now_ms / 1000 < end_s and next(
+            iter(self.cores)
+        ) in {source, to}
+
+
+class _Repeated(msgspec.Struct):
+    fleet: BlameFleet
+    vm_id: str
+    rounds: int = 0
+
+    def exchange(self) -> None:
+        self.rounds += 1
+        is_resend = self.rounds % (_RESEND_MS // _EXCHANGE_MS) == 0
+        self.fleet.exchange(self.vm_id, is_resend)
+        self.fleet.simulation.call_later(_EXCHANGE_MS * _MS, self.exchange)
+
+
+class _Poisson(msgspec.Struct):
+    simulation: Simulation
+    per_s: float
+    action: Callable[[], None]
+
+    def wait(self) -> None:
+        delay_s = self.simulation.rng.expovariate(self.per_s)
+        self.simulation.call_later(int(delay_s * _S), self.act)
+
+    def act(self) -> None:
+        self.wait()
+        self.action()
+
+
+class _Attempt(msgspec.Struct):
+    fleet: BlameFleet
+    endpoint: _Endpoint
+    request: _Request
+    retries: int
+
+    def start(self) -> None:
+        rng = self.fleet.simulation.rng
+        self.endpoint.requests[self.request] = None
+        self.fleet.simulation.call_later(
+            rng.randrange(80 * _MS, 500 * _MS), self._begin_answer
+        )
+
+    def _begin_answer(self) -> None:
+        if self._is_lost():
+            if self.retries > 0:
+                self.fleet.send(self.request.prompt, self.retries - 1)
+            return
+        deadly = self.fleet.deadly_part(self.request.prompt)
+        if deadly is not None:
+            self.fleet.crash(self.endpoint, deadly)
+            self.fleet.note_named()
+            return
+        self.fleet.simulation.call_later(100 * _MS, self._go_on)
+
+    def _go_on(self) -> None:
+        if not self._is_lost():
+            vm_id = self.request.vm_id
+            self.request.is_proved = True
+            self.fleet.cores[vm_id].note_answer(
+                self.request.prompt, self.fleet.vm_ms(vm_id)
+            )
+            self.fleet.outcome.served += 1
+            delay_us = self.fleet.simulation.rng.randrange(2 * _S)
+            self.fleet.simulation.call_later(delay_us, self._finish)
+
+    def _finish(self) -> None:
+        self.endpoint.requests.pop(self.request, None)
+
+    def _is_lost(self) -> bool:
+        return self.request not in self.endpoint.requests
+
+
+class _Loss(msgspec.Struct):
+    fleet: BlameFleet
+    endpoint: _Endpoint
+    incarnation: int
+    request: _Request
+
+    def note(self) -> None:
+        request = self.request
+        self.fleet.cores[request.vm_id].note_crash(
+            self.endpoint.endpoint_id,
+            self.incarnation,
+            () if request.is_proved else (request.prompt,),
+            self.fleet.vm_ms(request.vm_id),
+        )
+        self.fleet.note_named()
+
+
+class _Restart(msgspec.Struct):
+    endpoint: _Endpoint
+
+    def start(self) -> None:
+        self.endpoint.incarnation += 1
+        self.endpoint.is_up = True
+
+
+class _Delivery(msgspec.Struct):
+    fleet: BlameFleet
+    source: str
+    to: str
+    encoded: bytes
+
+    def apply(self) -> None:
+        report = msgspec.msgpack.decode(self.encoded, type=CrashReport)
+        self.fleet.cores[self.to].apply_report(
+            VmId(self.source), report, self.fleet.vm_ms(self.to)
+        )
+        self.fleet.note_named()
+
+
+def main() -> None:
+    """Print the outcomes of the standard plan for a number of seeds."""
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else 20
+    for seed in range(count):
+        outcome = BlameFleet(BlamePlan(), seed).run()
+        print(
+            f'seed {seed}: crashes {dict(outcome.crashes)}'
+            f' named at {outcome.named_at_crash}'
+            f' refused wrongly {outcome.wrongly_refused} of {outcome.sound}'
+            f' {dict(outcome.wrongly_refused_parts)}'
+            f' report {outcome.largest_report_bytes} bytes'
+        )
+
+
+if __name__ == '__main__':
+    main()
