--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -24,7 +24,8 @@
 from baobabwharf_decisions.proxying.crash_report import CrashKey, CrashReport
 from baobabwharf_decisions.proxying.part_probes import PartProbes
 from baobabwharf_decisions.proxying.part_quarantine import (
-    BLAME_CRASHES,
+    BLAME_NEW_CRASHES,
+    BLAME_PROVED_CRASHES,
     Quarantine,
     QuarantineTable,
 )
@@ -85,9 +86,7 @@
 
     def note_answer(self, prompt: Prompt, now_ms: int) -> None:
         """Clear all parts of a prompt whose answer went on."""
-        if not self._evidence.is_empty and self._evidence.note_proofs(
-            prompt, now_ms
-        ):
+        if self._evidence.note_proofs(prompt, now_ms):
             self._changed = True
         if self._quarantines.has_active:
             self._free(shared_part_ids(prompt), now_ms, now_ms)
@@ -201,7 +200,9 @@
             self._evidence.happened_by(key, proved_ms) for key in entry.crashes
         )
         left = len(entry.crashes) - refuted
-        return refuted > 0 and entry.strikes == 1 and left < BLAME_CRASHES
+        return (
+            refuted > 0 and entry.strikes == 1 and left < BLAME_PROVED_CRASHES
+        )
 
     def _evaluate(self, keys: Iterable[CrashKey], now_ms: int) -> None:
         parts: dict[str, None] = {}
@@ -233,18 +234,34 @@
         counted: dict[str, list[CrashKey]] = {}
         for part_id in part_ids:
             before = self._quarantines.find(part_id)
-            freed_ms = None if before is None else before.freed_ms
-            crashes = self._evidence.counted(part_id, explained, freed_ms)
-            needed = self._quarantines.crashes_to_blame(part_id)
-            is_active = self._quarantines.active(part_id) is not None
-            if len(crashes) >= needed and not is_active:
-                counted[part_id] = crashes
+            if before is None or not before.is_active:
+                freed_ms = None if before is None else before.freed_ms
+                crashes = self._evidence.counted(part_id, explained, freed_ms)
+                if len(crashes) >= self._crashes_to_blame(part_id):
+                    counted[part_id] = crashes
         most = max((len(crashes) for crashes in counted.values()), default=0)
-        for part_id, crashes in counted.items():
-            if len(crashes) == most:
-                at_ms = self._evidence.crash_ms(crashes[-1])
-                self._quarantines.blame(part_id, crashes, at_ms)
-        return most > 0
+        blamed = [each for each in counted if len(counted[each]) == most]
+        for part_id in blamed:
+            self._blame(part_id, counted[part_id], len(blamed) > 1)
+        return bool(blamed)
+
+    def _blame(
+        self, part_id: str, crashes: list[CrashKey], is_tied: bool
+    ) -> None:
+        self._quarantines.blame(
+            part_id,
+            crashes,
+            self._evidence.crash_ms(crashes[-1]),
+            is_tied and self._evidence.was_proved(part_id),
+        )
+
+    def _crashes_to_blame(self, part_id: str) -> int:
+        needed = (
+            BLAME_PROVED_CRASHES
+            if self._evidence.was_proved(part_id)
+            else BLAME_NEW_CRASHES
+        )
+        return self._quarantines.crashes_to_blame(part_id, needed)
 
     def _explained_crashes(self) -> set[CrashKey]:
         explained: set[CrashKey] = set()
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
@@ -23,6 +23,9 @@
 # Losing a zone or link takes many endpoints at once; VMs notice within a round
 # trip between regions and a scheduling delay.
 SIMULTANEOUS_MS = 250
+# How long and for how many parts a VM remembers that they were answered.
+_PROOF_RETENTION_MS = 600_000
+_MAX_PROVED_PARTS = 4096
 _MAX_CRASHES = 64
 _MAX_PARTS_OF_CRASH = 128
 # The caps on what is reported keep a report in one datagram.
@@ -49,7 +52,9 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[CrashKey, _Crash] = OrderedDict()
         self._keys_by_part: dict[str, dict[CrashKey, None]] = {}
+        # Own proofs of any part, the latest last.
         self._own_proof_ms: dict[str, int] = {}
+        # Proofs by any VM, only of suspects.
         self._proof_ms: dict[str, int] = {}
 
     @property
@@ -84,17 +89,24 @@
         key = (reported.endpoint_id, reported.incarnation)
         return self._add(key, reported.part_ids, now_ms - reported.age_ms)
 
-    def note_proofs(self, prompt: Prompt, now_ms: int) -> list[str]:
-        """Clear the suspects among the parts; return those newly cleared."""
-        cleared = []
+    def note_proofs(self, prompt: Prompt, now_ms: int) -> bool:
+        """Clear all parts of a prompt; return whether a suspect is cleared."""
+        cleared = False
         for part in prompt[:-1]:
-            if part.part_id in self._keys_by_part:
-                if self.unproved(part.part_id):
-                    cleared.append(part.part_id)
-                self._own_proof_ms[part.part_id] = now_ms
-                self._note_proof(part.part_id, now_ms)
+            part_id = part.part_id
+            self._own_proof_ms.pop(part_id, None)
+            self._own_proof_ms[part_id] = now_ms
+            if part_id in self._keys_by_part:
+                cleared = cleared or bool(self.unproved(part_id))
+                self._note_proof(part_id, now_ms)
+        while len(self._own_proof_ms) > _MAX_PROVED_PARTS:
+            self._own_proof_ms.pop(next(iter(self._own_proof_ms)))
         return cleared
 
+    def was_proved(self, part_id: str) -> bool:
+        """Return whether any VM proved a suspect lately."""
+        return part_id in self._proof_ms
+
     def note_reported_proof(self, part_id: str, at_ms: int) -> None:
         """Clear a suspect that was proved on another VM."""
         if part_id in self._keys_by_part:
@@ -165,9 +177,8 @@
     def reported_proofs(self, now_ms: int) -> tuple[ReportedProof, ...]:
         """Return this VM's proofs, those of parts in most crashes first."""
         part_ids = sorted(
-            self._own_proof_ms,
-            key=lambda part_id: len(self._keys_by_part[part_id]),
-            reverse=True,
+            self._own_proof_ms.keys() & self._keys_by_part.keys(),
+            key=lambda part_id: (-len(self._keys_by_part[part_id]), part_id),
         )
         return tuple(
             ReportedProof(part_id, now_ms - self._own_proof_ms[part_id])
@@ -179,20 +190,19 @@
         for key, crash in tuple(self._crashes.items()):
             if now_ms - crash.at_ms > EVIDENCE_WINDOW_MS:
                 self._drop(key)
+        oldest_ms = now_ms - _PROOF_RETENTION_MS
+        while self._own_proof_ms:
+            part_id = next(iter(self._own_proof_ms))
+            if self._own_proof_ms[part_id] > oldest_ms:
+                break
+            self._own_proof_ms.pop(part_id)
 
     def _add(self, key: CrashKey, part_ids: Iterable[str], at_ms: int) -> bool:
         changed = key not in self._crashes
         if changed:
+            if len(self._crashes) >= _MAX_CRASHES:
+                self._drop(next(iter(self._crashes)))
             self._crashes[key] = _Crash(at_ms, {}, {})
-            if len(self._crashes) > _MAX_CRASHES:
-                self._drop(
-                    min(
-                        self._crashes,
-                        key=lambda old: (self._crashes[old].at_ms, old != key),
-                    )
-                )
-                if key not in self._crashes:
-                    self._crashes[key] = _Crash(at_ms, {}, {})
         crash = self._crashes[key]
         crash.at_ms = min(crash.at_ms, at_ms)
         for part_id in part_ids:
@@ -200,10 +210,15 @@
                 continue
             if len(crash.parts) < _MAX_PARTS_OF_CRASH:
                 crash.parts[part_id] = None
-                self._keys_by_part.setdefault(part_id, {})[key] = None
+                self._track(part_id, key)
                 changed = True
         return changed
 
+    def _track(self, part_id: str, key: CrashKey) -> None:
+        self._keys_by_part.setdefault(part_id, {})[key] = None
+        if part_id in self._own_proof_ms:
+            self._note_proof(part_id, self._own_proof_ms[part_id])
+
     def _note_proof(self, part_id: str, at_ms: int) -> None:
         self._proof_ms[part_id] = max(at_ms, self._proof_ms.get(part_id, at_ms))
 
@@ -225,4 +240,3 @@
             if not keys:
                 self._keys_by_part.pop(part_id)
                 self._proof_ms.pop(part_id, None)
-                self._own_proof_ms.pop(part_id, None)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_report.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_report.py
@@ -36,6 +36,8 @@
     episode: int
     crashes: tuple[CrashKey, ...]
     age_ms: int
+    first_crashes: int
+    is_doubtful: bool
     freed_age_ms: int | None
     is_watched: bool
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
@@ -15,10 +15,14 @@
     ReportedQuarantine,
 )
 
-# Crashes in which a part has to be suspected before it is quarantined.
-BLAME_CRASHES = 3
+# Crashes in which a part has to be suspected before it is quarantined: a part
+# that was answered lately is more likely one that came along.
+BLAME_NEW_CRASHES = 2
+BLAME_PROVED_CRASHES = 3
 # The wait before the first trial; each further crash doubles it.
 _FIRST_HOLD_MS = 30_000
+# The wait for a part that was answered lately and is blamed beside another.
+_DOUBTFUL_HOLD_MS = 2000
 _MAX_HOLD_MS = 600_000
 # Crashes after which a part that was freed is blamed sooner.
 _WATCH_MS = 600_000
@@ -40,6 +44,9 @@
     episode: int
     crashes: dict[CrashKey, None]
     blamed_ms: int
+    # The crashes when it was blamed; more of them lengthen the hold.
+    first_crashes: int
+    is_doubtful: bool
     freed_ms: int | None = None
     is_watched: bool = False
 
@@ -51,7 +58,7 @@
     @property
     def strikes(self) -> int:
         """Return 1 for the first blame and one more for each later crash."""
-        return max(1, len(self.crashes) - BLAME_CRASHES + 1)
+        return max(1, len(self.crashes) - self.first_crashes + 1)
 
     @property
     def order(self) -> tuple[int, int]:
@@ -61,6 +68,8 @@
     @property
     def due_ms(self) -> int:
         """Return when the part may be tried again."""
+        if self.is_doubtful and self.strikes == 1:
+            return self.blamed_ms + _DOUBTFUL_HOLD_MS
         hold_ms = _FIRST_HOLD_MS << (self.strikes - 1)
         return self.blamed_ms + min(hold_ms, _MAX_HOLD_MS)
 
@@ -98,27 +107,37 @@
         """Iterate over all quarantines."""
         return iter(self._entries.values())
 
-    def crashes_to_blame(self, part_id: str) -> int:
-        """Return how many crashes quarantine a part."""
+    def crashes_to_blame(self, part_id: str, needed: int) -> int:
+        """Return how many crashes quarantine a part, fewer if it is watched."""
         entry = self._entries.get(part_id)
         if entry is None or entry.is_active or not entry.is_watched:
-            return BLAME_CRASHES
-        return max(1, BLAME_CRASHES - entry.strikes)
+            return needed
+        return max(1, needed - entry.strikes)
 
     def blame(
-        self, part_id: str, crashes: Iterable[CrashKey], at_ms: int
+        self,
+        part_id: str,
+        crashes: Iterable[CrashKey],
+        at_ms: int,
+        is_doubtful: bool,
     ) -> None:
         """Begin the next episode of a part; a watched one keeps its strikes."""
         before = self._entries.get(part_id)
-        listed: dict[CrashKey, None] = {}
+        listed = dict.fromkeys(crashes)
         episode = 1
+        first_crashes = len(listed)
         if before is not None:
             episode = before.episode + 1
             if before.is_watched:
-                listed.update(before.crashes)
-        listed.update(dict.fromkeys(crashes))
+                first_crashes = before.first_crashes
+                listed = {**before.crashes, **listed}
         self._entries[part_id] = Quarantine(
-            part_id, episode, _newest(listed), at_ms
+            part_id,
+            episode,
+            _newest(listed),
+            at_ms,
+            first_crashes,
+            is_doubtful,
         )
         self._evict()
 
@@ -160,6 +179,8 @@
                 entry.episode,
                 tuple(entry.crashes),
                 now_ms - entry.blamed_ms,
+                entry.first_crashes,
+                entry.is_doubtful,
                 None if entry.freed_ms is None else now_ms - entry.freed_ms,
                 entry.is_watched,
             )
@@ -202,6 +223,8 @@
             for endpoint_id, incarnation in reported.crashes
         ),
         now_ms - reported.age_ms,
+        reported.first_crashes,
+        reported.is_doubtful,
         None if freed_age_ms is None else now_ms - freed_age_ms,
         reported.is_watched,
     )
@@ -221,6 +244,8 @@
         )
     elif not has_more:
         known.blamed_ms = min(known.blamed_ms, other.blamed_ms)
+    known.first_crashes = max(known.first_crashes, other.first_crashes)
+    known.is_doubtful = known.is_doubtful or other.is_doubtful
     if other.freed_ms is not None:
         known.freed_ms = min(other.freed_ms, known.freed_ms or other.freed_ms)
         known.is_watched = known.is_watched or other.is_watched
