--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -17,7 +17,7 @@
 from baobabwharf_core.ids import EndpointId, VmId
 
 from baobabwharf_decisions.proxying.crash_evidence import (
-    SIMULTANEOUS_MS,
+    SIMULTANEOUS_NEW_MS,
     CrashEvidence,
     shared_part_ids,
 )
@@ -71,6 +71,11 @@
         """Return whether the next report holds something new."""
         return self._changed
 
+    @property
+    def crash_count(self) -> int:
+        """Return how many crashes are held."""
+        return len(self._evidence.keys())
+
     def note_crash(
         self,
         endpoint_id: EndpointId,
@@ -217,7 +222,7 @@
         entries = [
             entry
             for entry in self._active_parts(self._evidence.suspects(key))
-            if at_ms - entry.blamed_ms > SIMULTANEOUS_MS
+            if at_ms - entry.blamed_ms > SIMULTANEOUS_NEW_MS
         ]
         tried = [
             entry
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
@@ -23,6 +23,9 @@
 # Losing a zone or link takes many endpoints at once; VMs notice within a round
 # trip between regions and a scheduling delay.
 SIMULTANEOUS_MS = 250
+# The same for parts that were not answered lately, of which few requests run at
+# once: the time to notice a reset plus the delay of a report.
+SIMULTANEOUS_NEW_MS = 120
 # How long and for how many parts a VM remembers that they were answered.
 _PROOF_RETENTION_MS = 600_000
 _MAX_PROVED_PARTS = 4096
@@ -152,12 +155,14 @@
         """
         counted: list[CrashKey] = []
         group_ms: int | None = None
+        is_proved = self.was_proved(part_id)
+        gap_ms = SIMULTANEOUS_MS if is_proved else SIMULTANEOUS_NEW_MS
         for key in self.unproved(part_id):
             at_ms = self._crashes[key].at_ms
             is_old = freed_ms is not None and at_ms <= freed_ms
             if is_old or key in explained:
                 continue
-            if group_ms is None or at_ms - group_ms > SIMULTANEOUS_MS:
+            if group_ms is None or at_ms - group_ms > gap_ms:
                 counted.append(key)
                 group_ms = at_ms
         return counted
