--- a/features/steps/crash_blame.py
+++ b/features/steps/crash_blame.py
@@ -389,12 +389,29 @@
             assert not part_id.startswith('popular'), (seed, part_id)
 
 
-@then(
-    'each deadly part is freed by one trial and named again at its next crash'
-)
-def comes_back(context: Context) -> None:
-    for seed, fleet, outcome in context.runs:
-        later = [at for at in outcome.crash_ms['bad-0'] if at > 80_000]
-        trials = [at for at in outcome.probes_ms['bad-0'] if at < 80_000]
-        assert len(fleet.refusing_vms('bad-0')) == context.plan.vms, seed
-        print(f'crash blame: seed {seed}, trials {trials}, crashes {later}')
+@then('each deadly part takes one trial while it is harmless')
+def one_trial(context: Context) -> None:
+    (_part_id, _start_s, stop_s), (part_id, back_s, _end_s) = (
+        context.plan.spells
+    )
+    for seed, _fleet, outcome in context.runs:
+        trials = [
+            at_ms
+            for at_ms in outcome.probes_ms.get(part_id, ())
+            if stop_s * 1000 <= at_ms < back_s * 1000
+        ]
+        assert len(trials) <= 1, (seed, trials)
+
+
+@then('no VM sends it once all could know of the first crash after that')
+def named_again(context: Context) -> None:
+    part_id, back_s, _end_s = context.plan.spells[-1]
+    for seed, _fleet, outcome in context.runs:
+        again = [
+            at_ms
+            for at_ms in outcome.crash_ms[part_id]
+            if at_ms >= back_s * 1000
+        ]
+        if again:
+            late = outcome.sends_after(part_id, again[0] + _EXCHANGE_MS)
+            assert not late, (seed, again, late)
--- a/features/unit/crash_blame.feature
+++ b/features/unit/crash_blame.feature
@@ -43,15 +43,26 @@
     Then prompt tool is allowed at 3301
     And prompt tool/bad is refused at 3301 for 29699 ms because of bad
 
-  Scenario: A part that was answered lately is tried soon if another may be it
+  Scenario: A part that was answered lately needs one crash more
     Given a VM that looks for deadly parts
     When an answer to prompt tool goes on at 500
-    And endpoint a crashes at 1000 with prompts tool/bad
+    And endpoint a crashes at 1000 with prompts tool
     And endpoint b crashes at 3000 with prompts tool
+    Then prompt tool is allowed at 3001
+    When endpoint c crashes at 5000 with prompts tool
+    Then prompt tool is refused at 5001 for 29999 ms because of tool
+
+  Scenario: Parts that were answered lately and came together are tried soon
+    Given a VM that looks for deadly parts
+    When an answer to prompt tool/bad goes on at 500
+    And endpoint a crashes at 1000 with prompts tool/bad
+    And endpoint b crashes at 3000 with prompts tool/bad
     And endpoint c crashes at 5000 with prompts tool/bad
-    And endpoint d crashes at 7000 with prompts tool/bad
-    Then prompt bad is refused at 7001 for 27999 ms because of bad
-    And prompt tool is allowed at 7001
+    Then prompt tool is refused at 5001 for 1999 ms because of tool
+    And prompt tool is tried at 7000
+    When the trial of tool is sent at 7000
+    And an answer to prompt tool goes on at 7500
+    Then prompt tool is allowed at 7501
 
   Scenario: A crash with a refused part among its suspects blames no other
     Given a VM that looks for deadly parts
@@ -164,4 +175,5 @@
 
   Scenario: A deadly part that stops is freed and named again when it comes back
     When 20 fleets with deadly parts run: a part that stops and comes back
-    Then each deadly part is freed by one trial and named again at its next crash
+    Then each deadly part takes one trial while it is harmless
+    And no VM sends it once all could know of the first crash after that
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -85,6 +85,7 @@
     ) -> None:
         """Record lost connections and the prompts not yet proved on them."""
         key = (endpoint_id, incarnation)
+        self._evidence.drop_expired(now_ms)
         if self._evidence.add_own(key, suspects, now_ms):
             self._changed = True
             self._evaluate((key,), now_ms)
@@ -261,12 +262,11 @@
         )
 
     def _crashes_to_blame(self, part_id: str) -> int:
-        needed = (
-            BLAME_PROVED_CRASHES
-            if self._evidence.was_proved(part_id)
-            else BLAME_NEW_CRASHES
-        )
-        return self._quarantines.crashes_to_blame(part_id, needed)
+        if self._quarantines.is_watched(part_id):
+            return 1
+        if self._evidence.was_proved(part_id):
+            return BLAME_PROVED_CRASHES
+        return BLAME_NEW_CRASHES
 
     def _explained_crashes(self) -> set[CrashKey]:
         explained: set[CrashKey] = set()
--- a/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
@@ -107,12 +107,10 @@
         """Iterate over all quarantines."""
         return iter(self._entries.values())
 
-    def crashes_to_blame(self, part_id: str, needed: int) -> int:
-        """Return how many crashes quarantine a part, fewer if it is watched."""
+    def is_watched(self, part_id: str) -> bool:
+        """Return whether the next crash quarantines a part that was freed."""
         entry = self._entries.get(part_id)
-        if entry is None or entry.is_active or not entry.is_watched:
-            return needed
-        return max(1, needed - entry.strikes)
+        return entry is not None and not entry.is_active and entry.is_watched
 
     def blame(
         self,
@@ -150,9 +148,11 @@
         return True
 
     def free(self, entry: Quarantine, at_ms: int) -> None:
-        """End the episode; a part that was tried after its hold is watched."""
+        """End the episode; a part that was tried after a long hold is watched."""
         entry.freed_ms = at_ms
-        entry.is_watched = entry.strikes > 1 or at_ms >= entry.due_ms
+        entry.is_watched = entry.strikes > 1 or (
+            at_ms >= entry.due_ms and not entry.is_doubtful
+        )
         self._recount()
 
     def merge(self, reported: ReportedQuarantine, now_ms: int) -> None:
