Refuse prompts with a part that crashes endpoints

What callers saw: one part of a prompt crashed each engine that began to answer it.

Cause: the fleet learned from a lost connection only that an endpoint was gone. No state linked the loss to what the request held, so each VM repeated the experiment on the next endpoint. The class of fault is a failure that is attributed to the place where it shows instead of to what was sent there.

Change: a VM notes a connection that an endpoint closed before the first event of its answer (CrashWatch), and each answer that went on. Requests with a quarantined part are refused as not run, with the time until the part is tried again; everything else goes on. A refused forward names its reason, so that a quarantined prompt doesn't cause a back-off of the region.

Ruled out: the engine (each crashed), the caller and the session (their other requests are answered), the shared first part (answers with it went on within the same second).

--- a/features/steps/outer_names.py
+++ b/features/steps/outer_names.py
@@ -23,6 +23,7 @@
 )
 from baobabwharf_daemon.gateway import calls
 from baobabwharf_daemon.proxy import (
+    crash_watch,
     endpoint_messages,
     endpoint_store,
     load_exchange,
@@ -72,6 +73,7 @@
     'endpoint push': endpoint_messages.EndpointPush,
     'endpoint push reply': endpoint_messages.EndpointPushReply,
     'stored endpoints': endpoint_store._Stored,
+    'crash evidence': crash_watch.CrashDatagram,
     'load report': load_exchange.LoadReport,
     'relay call': relay_exchange.RelayCall,
     'relay answer': relay_exchange.RelayAnswer,
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -24,6 +24,7 @@
 from baobabwharf_daemon.interfaces import LimitClient, MembershipView
 from baobabwharf_daemon.proxy.attempt import FORWARD_HEADER
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
+from baobabwharf_daemon.proxy.crash_watch import CrashWatch
 from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.ingress import Ingress
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
@@ -40,6 +41,8 @@
 _KEY = b'secret-key'
 _TIMEOUT_MS = 700
 _TIMEOUT_S = 10
+# A prompt part on which endpoints of the behaviour 'deadly' crash.
+DEADLY_PART = 'dead'
 _OWN = VmRecord('vm', 'r', 'z', False, '127.0.0.1:1', '127.0.0.1:2', 'url')
 
 
@@ -104,7 +107,14 @@
         body = await reader.readexactly(int(fields.get(b'content-length', 0)))
         self.requests.append(head + body)
         request_id = fields[b'x-request-id']
-        if self.behaviour == 'reset':
+        if self.behaviour == 'deadly':
+            if DEADLY_PART.encode() not in fields.get(b'x-prompt-prefix', b''):
+                writer.write(self.stream_response(request_id))
+                return
+            # It crashes when it begins to write the first event.
+            writer.write(self.stream_response(request_id).partition(b'id')[0])
+            writer.close()
+        elif self.behaviour == 'reset':
             reset_connection(writer)
         elif self.behaviour == 'close':
             writer.close()
@@ -126,6 +136,10 @@
         body = b'ran %d' % len(self.requests)
         return build_response(200, body, request_id, self.signature)
 
+    def stream_response(self, request_id: bytes) -> bytes:
+        events = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
+        return build_response(200, events, request_id, self.signature)
+
     def response_bytes(self, request_id: bytes) -> bytes:
         whole = self.ok_response(request_id)
         other = build_response(200, b'other', b'another-id', self.signature)
@@ -245,8 +259,14 @@
         selector = EndpointSelector(
             _OWN, clock, self.endpoint_table, SingleVmView(), random.Random(1)
         )
+        log = DecisionLog(clock)
         self.context = ProxyContext(
-            clock, PlatformDialect(), selector, self, DecisionLog(clock)
+            clock,
+            PlatformDialect(),
+            selector,
+            self,
+            log,
+            CrashWatch(_OWN.vm_id, clock, log),
         )
         self.ingress = Ingress(self.context, NoLimits(), lambda: self.table)
         limits = self.ingress.ingress_limits
--- a/features/unit/outer_names.feature
+++ b/features/unit/outer_names.feature
@@ -20,6 +20,7 @@
       | baobabwharf_retries_total        |
       | baobabwharf_forwarded_total      |
       | baobabwharf_attempts_ended_total |
+      | baobabwharf_crash_evidence_total |
       | baobabwharf_request_seconds      |
       | baobabwharf_first_block_seconds  |
       | baobabwharf_log_lines_dropped    |
--- a/packages/daemon/src/baobabwharf_daemon/metrics.py
+++ b/packages/daemon/src/baobabwharf_daemon/metrics.py
@@ -25,6 +25,11 @@
     'Attempts that gave no answer, by how they ended.',
     registry=REGISTRY,
 )
+CRASH_EVIDENCE = Counter(
+    'baobabwharf_crash_evidence_total',
+    'Lost answers that had not begun and reports of other VMs, by source.',
+    registry=REGISTRY,
+)
 # The buckets cover the usual targets of some hundred ms and the deadlines.
 LATENCY = Histogram(
     'baobabwharf_request_seconds',
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -22,6 +22,7 @@
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.metrics import REVISION
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
+from baobabwharf_daemon.proxy.crash_watch import CrashWatch
 from baobabwharf_daemon.proxy.dialect import Dialect
 from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
@@ -82,8 +83,9 @@
             self._limits.membership,
             self._random,
         )
+        crashes = CrashWatch(self._record.vm_id, clock, log)
         self._context = ProxyContext(
-            clock, dialect, self._selector, self.endpoint_sync, log
+            clock, dialect, self._selector, self.endpoint_sync, log, crashes
         )
         self._route_table: RouteTable | None = None
         peer_exchange = build_peer_exchange(
@@ -93,6 +95,7 @@
             self._selector.loads,
             self._limits,
             self._consensus.follower,
+            crashes.blame,
             log,
         )
         self._exchange_tasks = peer_exchange.tasks
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -32,8 +32,8 @@
 FORWARD_HEADER = b'Baobabwharf-Forward'
 OUTCOME_HEADER = b'Baobabwharf-Outcome'
 RETRY_HEADER = b'Baobabwharf-Retry-Ms'
-# Marks a refusal that concerns the stopping VM only, not its region.
-STOPPING_HEADER = b'Baobabwharf-Stopping'
+# Names the refusal code, since not each reason concerns the whole region.
+REASON_HEADER = b'Baobabwharf-Reason'
 NOT_RUN = b'not_run'
 MAY_HAVE_RUN = b'may_have_run'
 HEAD = b'HEAD'
@@ -45,6 +45,9 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+_CRASH_LOSSES = frozenset((ResponseLoss.CLOSED, ResponseLoss.RESET))
+
+
 class ResponseKind(enum.Enum):
     """Classify a response by what it means for the request."""
 
@@ -87,7 +90,10 @@
         self._load_counted = False
         self.destination = destination
         self.reused = False
-        self.vm_stopping = False
+        self.refusal_reason = b''
+        # An endpoint that crashes on a prompt does so before this is set.
+        self.answer_went_on = False
+        self.loss: ResponseLoss | None = None
         self.sent_ms: int | None = None
 
     async def open(
@@ -110,6 +116,7 @@
         )
         head = await connection.read_head()
         if isinstance(head, ResponseLoss):
+            self.loss = head
             return AttemptEnd.LOST
         metadata = self._dialect.read_response(head)
         return OpenedResponse(
@@ -122,6 +129,11 @@
             self._load.mark_prefilled(self._pending_tokens)
         self._pending_tokens = 0
 
+    @property
+    def crash_suspected(self) -> bool:
+        """Return whether the endpoint was lost before its answer went on."""
+        return not self.answer_went_on and self.loss in _CRASH_LOSSES
+
     def mark_complete(self) -> None:
         """Record that the response was read completely."""
         self._complete = True
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
@@ -0,0 +1,155 @@
+"""Collect evidence of crashing endpoints and share it with the other VMs."""
+
+from typing import final
+
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.codec import decode, encode
+from baobabwharf_core.fleet_config import VmRecord
+from baobabwharf_core.ids import VmId
+from baobabwharf_core.refusals import Refusal, RefusalCode
+from baobabwharf_decisions.proxying.crash_blame import (
+    CrashBlame,
+    Verdict,
+    VerdictAction,
+)
+from baobabwharf_decisions.proxying.crash_report import CrashReport
+from baobabwharf_decisions.proxying.endpoint_table import EndpointRecord
+from baobabwharf_decisions.proxying.prompt_cache import Prompt
+from expression import Error, Ok, Result
+from msgspec import Struct
+
+from baobabwharf_daemon.decision_log import DecisionLog
+from baobabwharf_daemon.interfaces import MembershipView
+from baobabwharf_daemon.metrics import CRASH_EVIDENCE
+from baobabwharf_daemon.proxy.datagrams import DatagramTask
+
+# Crashes may follow each other within the delay between regions.
+_PERIOD_S = 0.05
+# Evidence is repeated at this interval, as datagrams get lost; the interval
+# grows with the fleet, so that each VM sends at most 50 datagrams per second.
+_REPEAT_MS = 500
+_REPEAT_PER_VM_MS = 20
+
+
+class CrashDatagram(Struct, frozen=True):
+    """Carry the evidence of one VM; a lower sequence is older."""
+
+    vm_id: VmId
+    sequence: int
+    report: CrashReport
+
+
+@final
+class CrashWatch:
+    """Own the evidence of this VM and judge prompts by all evidence."""
+
+    def __init__(self, vm_id: VmId, clock: Clock, log: DecisionLog) -> None:
+        self._clock = clock
+        self._log = log
+        self.blame = CrashBlame(vm_id)
+
+    def judge(self, prompt: Prompt) -> Result[Verdict, Refusal]:
+        """Return a refusal if a part of the prompt crashes endpoints."""
+        now_ms = self._clock.now_ms()
+        verdict = self.blame.verdict(prompt, now_ms)
+        if verdict.action is not VerdictAction.REFUSE:
+            return Ok(verdict)
+        part_id = verdict.part_id or ''
+        return Error(
+            Refusal(
+                RefusalCode.PROMPT_QUARANTINED,
+                retry_after_ms=verdict.retry_after_ms,
+                detail=self.blame.explain(part_id, now_ms) or '',
+            )
+        )
+
+    def note_sent(self, verdict: Verdict) -> None:
+        """Announce the request if it is the trial of a part."""
+        if verdict.action is VerdictAction.PROBE and verdict.part_id:
+            now_ms = self._clock.now_ms()
+            self._log.record(
+                'part_tried',
+                part=verdict.part_id,
+                inputs=self.blame.explain(verdict.part_id, now_ms),
+            )
+            self.blame.note_probe(verdict.part_id, now_ms)
+
+    def note_unsent(self, verdict: Verdict) -> None:
+        """Withdraw a trial that reached no endpoint."""
+        if verdict.action is VerdictAction.PROBE and verdict.part_id:
+            self.blame.note_probe_unsent(verdict.part_id, self._clock.now_ms())
+
+    def note_answer(self, prompt: Prompt) -> None:
+        """Record that an endpoint went on after it had begun an answer."""
+        self.blame.note_answer(prompt, self._clock.now_ms())
+
+    def note_loss(
+        self, record: EndpointRecord, prompt: Prompt, request_id: str
+    ) -> None:
+        """Record a connection that was lost before the answer went on."""
+        if len(prompt) < 2:
+            return
+        CRASH_EVIDENCE.inc({'source': 'own'})
+        self._log.record(
+            'crash_suspected',
+            request=request_id,
+            endpoint=record.endpoint_id,
+            incarnation=record.incarnation,
+            parts=[part.part_id for part in prompt[:-1]],
+        )
+        self.blame.note_crash(
+            record.endpoint_id,
+            record.incarnation,
+            (prompt,),
+            self._clock.now_ms(),
+        )
+
+
+@final
+class CrashExchange(DatagramTask):
+    """Send the evidence of this VM to all others and receive theirs."""
+
+    def __init__(
+        self,
+        own: VmRecord,
+        port: int,
+        clock: Clock,
+        members: MembershipView,
+        blame: CrashBlame,
+    ) -> None:
+        super().__init__(own, port)
+        self._clock = clock
+        self._members = members
+        self._blame = blame
+        self._sequence = clock.wall_ms()
+        self._sent_ms = 0
+        self._newest: dict[VmId, int] = {}
+
+    def handle_datagram(self, content: bytes, host: str) -> None:
+        """Merge the evidence of another VM unless it is outdated."""
+        datagram = decode(content, CrashDatagram)
+        if self._newest.get(datagram.vm_id, -1) < datagram.sequence:
+            self._newest[datagram.vm_id] = datagram.sequence
+            CRASH_EVIDENCE.inc({'source': 'other'})
+            self._blame.apply_report(
+                datagram.vm_id, datagram.report, self._clock.now_ms()
+            )
+
+    def send_due(self) -> float:
+        """Send new evidence at once and repeat what is held."""
+        now_ms = self._clock.now_ms()
+        self._blame.drop_expired(now_ms)
+        hosts = self.other_hosts(self._members.live_vms())
+        repeat_ms = max(_REPEAT_MS, _REPEAT_PER_VM_MS * len(hosts))
+        if self._blame.changed or now_ms - self._sent_ms >= repeat_ms:
+            self._sent_ms = now_ms
+            self._send_report(hosts, now_ms)
+        return _PERIOD_S
+
+    def _send_report(self, hosts: list[str], now_ms: int) -> None:
+        report = self._blame.report(now_ms)
+        if report.is_empty:
+            return
+        self._sequence += 1
+        datagram = CrashDatagram(self._own.vm_id, self._sequence, report)
+        self.send(encode(datagram), hosts)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -35,8 +35,8 @@
     MAY_HAVE_RUN,
     NOT_RUN,
     OUTCOME_HEADER,
+    REASON_HEADER,
     RETRY_HEADER,
-    STOPPING_HEADER,
 )
 from baobabwharf_daemon.proxy.http_call import HttpCall
 from baobabwharf_daemon.proxy.http_messages import Header, RequestMetadata
@@ -316,8 +316,7 @@
     headers: list[Header] = [
         (OUTCOME_HEADER, NOT_RUN if not_run else MAY_HAVE_RUN)
     ]
-    if refusal.code is RefusalCode.VM_STOPPING:
-        headers.append((STOPPING_HEADER, b'1'))
+    headers.append((REASON_HEADER, refusal.code.value.encode()))
     if refusal.retry_after_ms is not None:
         headers.append((RETRY_HEADER, b'%d' % refusal.retry_after_ms))
     call.respond(refusal.status, b'Refused', headers, b'')
--- a/packages/daemon/src/baobabwharf_daemon/proxy/proxy_context.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/proxy_context.py
@@ -8,6 +8,7 @@
 
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.proxy.connection_pool import ConnectionPool
+from baobabwharf_daemon.proxy.crash_watch import CrashWatch
 from baobabwharf_daemon.proxy.dialect import Dialect
 from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
@@ -23,12 +24,14 @@
         selector: EndpointSelector,
         endpoint_sync: EndpointSync,
         log: DecisionLog,
+        crashes: CrashWatch,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.selector = selector
         self.endpoint_sync = endpoint_sync
         self.log = log
+        self.crashes = crashes
         self.pool = ConnectionPool(clock)
         self.retry_budget = VmRetryBudget()
         self.drain = DrainWindow()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -6,20 +6,26 @@
 from baobabwharf_core.deployment import DeployedService
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_decisions.proxying.attempt_outcomes import AttemptEnd
+from baobabwharf_decisions.proxying.crash_blame import Verdict, VerdictAction
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
+from expression import Error
 
 from baobabwharf_daemon.metrics import ATTEMPTS
 from baobabwharf_daemon.proxy.attempt import (
     HEAD,
+    REASON_HEADER,
     RETRY_HEADER,
-    STOPPING_HEADER,
     Attempt,
     OpenedResponse,
     ResponseBody,
     ResponseKind,
     read_body,
 )
-from baobabwharf_daemon.proxy.endpoint_selector import AttemptTarget, Exclusions
+from baobabwharf_daemon.proxy.endpoint_selector import (
+    AttemptTarget,
+    Exclusions,
+    Selection,
+)
 from baobabwharf_daemon.proxy.http_call import HttpCall
 from baobabwharf_daemon.proxy.http_messages import (
     Header,
@@ -34,8 +40,14 @@
 # retried or refused; larger ones are streamed to the caller.
 _MAX_BUFFERED_BYTES = 262_144
 _SERVER_ERROR = 500
+# An endpoint that crashes on a prompt may still send a part of an event.
+_EVENT_END = b'\n\n'
 _INTERNAL_PREFIX = b'baobabwharf-'
 
+_UNSENT_ENDS = frozenset((AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED))
+_VM_STOPPING = RefusalCode.VM_STOPPING.value.encode()
+_PROMPT_QUARANTINED = RefusalCode.PROMPT_QUARANTINED.value.encode()
+
 _END_BY_KIND = {
     ResponseKind.NOT_EXECUTED: AttemptEnd.NOT_EXECUTED,
     ResponseKind.MISDIRECTED: AttemptEnd.NOT_EXECUTED,
@@ -61,6 +73,7 @@
         self._service = service
         self._exclusions = Exclusions()
         self._retry_after_ms: int | None = None
+        self._verdict = Verdict(VerdictAction.ALLOW)
 
     async def run(self) -> Refusal | None:
         """Run the attempts; return a refusal unless a response was begun."""
@@ -83,9 +96,7 @@
 
     async def _attempt_until_done(self) -> Refusal | None:
         while True:
-            selected = self._context.selector.select(
-                self._plan, self._service, self._exclusions
-            )
+            selected = self._select()
             if selected.is_error() and self._plan.attempts.may_have_run:
                 return Refusal(RefusalCode.ENDPOINT_FAILED, Executed.UNKNOWN)
             if selected.is_error():
@@ -97,6 +108,16 @@
             if not self._may_retry(ended):
                 return self._plan.attempts.refusal(ended, self._retry_after_ms)
 
+    def _select(self) -> Selection:
+        """Return the next destination unless the prompt crashes endpoints."""
+        judged = self._context.crashes.judge(self._plan.metadata.prompt)
+        if judged.is_error():
+            return Error(judged.error)
+        self._verdict = judged.ok
+        return self._context.selector.select(
+            self._plan, self._service, self._exclusions
+        )
+
     def _may_retry(self, ended: AttemptEnd) -> bool:
         if not self._plan.attempts.may_retry(ended):
             return False
@@ -111,6 +132,7 @@
         self._log_destination(destination, load)
         if destination.record is not None:
             self._context.selector.note_sent(destination.record)
+            self._context.crashes.note_sent(self._verdict)
         attempt = Attempt(
             self._context.pool,
             self._context.dialect,
@@ -128,11 +150,25 @@
             else:
                 ended = opened
         finally:
+            self._note_crash(destination, attempt)
             attempt.close()
         self._plan.attempts.may_have_run = may_have_run
         self._record_outcome(destination, load, ended, attempt)
         return ended
 
+    def _note_crash(self, destination: AttemptTarget, attempt: Attempt) -> None:
+        if destination.record is not None and attempt.crash_suspected:
+            metadata = self._plan.metadata
+            self._context.crashes.note_loss(
+                destination.record, metadata.prompt, metadata.request_id
+            )
+
+    def _note_answer(self, attempt: Attempt) -> None:
+        if attempt.answer_went_on or attempt.destination.record is None:
+            return
+        attempt.answer_went_on = True
+        self._context.crashes.note_answer(self._plan.metadata.prompt)
+
     def _log_destination(
         self, destination: AttemptTarget, load: EndpointLoad | None
     ) -> None:
@@ -183,19 +219,24 @@
                 took_ms=self._took_ms(attempt),
                 parts=self._part_ids(),
             )
+        if ended in _UNSENT_ENDS and destination.record is not None:
+            self._context.crashes.note_unsent(self._verdict)
         if ended is AttemptEnd.NOT_SENT and load is not None:
             load.back_off(now_ms)
             self._context.pool.drop(destination.address)
 
     def _exclude(self, destination: AttemptTarget, attempt: Attempt) -> None:
         regions = self._context.selector.regions
-        unreachable = attempt.sent_ms is None or attempt.vm_stopping
+        unreachable = (
+            attempt.sent_ms is None or attempt.refusal_reason == _VM_STOPPING
+        )
         if destination.vm_id is not None and unreachable:
             regions.note_unreachable(destination.vm_id)
         elif destination.record is None:
             refused = self._exclusions.regions | {destination.region}
             self._exclusions = Exclusions(self._exclusions.endpoints, refused)
-            regions.note_refusal(self._plan, destination.region)
+            if attempt.refusal_reason != _PROMPT_QUARANTINED:
+                regions.note_refusal(self._plan, destination.region)
         else:
             endpoints = self._exclusions.endpoints | {
                 destination.record.endpoint_id
@@ -221,8 +262,8 @@
                 attempt.destination.record.endpoint_id, 'misdirected'
             )
         if opened.kind is ResponseKind.REGION_REFUSED:
-            stopping = opened.head.header(STOPPING_HEADER.lower())
-            attempt.vm_stopping = stopping is not None
+            reason = opened.head.header(REASON_HEADER.lower())
+            attempt.refusal_reason = reason or b''
             value = opened.head.header(RETRY_HEADER.lower())
             self._retry_after_ms = int(value) if value else None
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
@@ -239,7 +280,9 @@
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
         attempt.mark_prefilled()
         if isinstance(body, ResponseLoss):
+            attempt.loss = body
             return AttemptEnd.LOST
+        self._note_answer(attempt)
         await self._send_response(attempt, opened, body)
         return None
 
@@ -290,9 +333,7 @@
         return self._context.retry_budget.take(self._service.name)
 
     async def _attempt_again(self) -> AttemptEnd | None:
-        selected = self._context.selector.select(
-            self._plan, self._service, self._exclusions
-        )
+        selected = self._select()
         if selected.is_error():
             return AttemptEnd.FAILED
         return await self._attempt(selected.ok)
@@ -311,6 +352,7 @@
             block = await opened.connection.read_block()
             attempt.mark_prefilled()
             if isinstance(block, ResponseLoss):
+                attempt.loss = block
                 self._log(
                     'stream_broken',
                     reason=block.value,
@@ -325,8 +367,11 @@
             if not block:
                 break
             received_bytes += len(block)
+            if _EVENT_END in block:
+                self._note_answer(attempt)
             self._call.write(block)
             await self._call.drain()
+        self._note_answer(attempt)
         attempt.mark_complete()
         self._call.finish()
 
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -39,6 +39,8 @@
     meter_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
     # UDP; in a large fleet VMs exchange load and spending through relays.
     relay_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
+    # UDP; VMs exchange evidence about prompts that crash endpoints.
+    crash_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
 
     @pydantic.field_validator('host')
     @classmethod
