--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -236,21 +236,28 @@
                 self._changed = True
 
     def _blame_most_suspected(self, part_ids: Iterable[str]) -> bool:
-        explained = self._explained_crashes()
-        counted: dict[str, list[CrashKey]] = {}
+        counted = {}
         for part_id in part_ids:
-            before = self._quarantines.find(part_id)
-            if before is None or not before.is_active:
-                freed_ms = None if before is None else before.freed_ms
-                crashes = self._evidence.counted(part_id, explained, freed_ms)
-                if len(crashes) >= self._crashes_to_blame(part_id):
-                    counted[part_id] = crashes
+            crashes = self._counted_crashes(part_id)
+            if len(crashes) >= self._crashes_to_blame(part_id):
+                counted[part_id] = crashes
         most = max((len(crashes) for crashes in counted.values()), default=0)
         blamed = [each for each in counted if len(counted[each]) == most]
         for part_id in blamed:
             self._blame(part_id, counted[part_id], len(blamed) > 1)
         return bool(blamed)
 
+    def _counted_crashes(self, part_id: str) -> list[CrashKey]:
+        before = self._quarantines.find(part_id)
+        if before is not None and before.is_active:
+            return []
+        freed_ms = None if before is None else before.freed_ms
+        crashes = self._evidence.counted(part_id, (), freed_ms)
+        if len(crashes) < self._crashes_to_blame(part_id):
+            return []
+        explained = self._explained_crashes(len(crashes))
+        return self._evidence.counted(part_id, explained, freed_ms)
+
     def _blame(
         self, part_id: str, crashes: list[CrashKey], is_tied: bool
     ) -> None:
@@ -268,10 +275,14 @@
             return BLAME_PROVED_CRASHES
         return BLAME_NEW_CRASHES
 
-    def _explained_crashes(self) -> set[CrashKey]:
+    def _explained_crashes(self, count: int) -> set[CrashKey]:
+        """Return the crashes with a refused part that was in more of them.
+
+        One with fewer or as many may be blamed only since it was noticed first.
+        """
         explained: set[CrashKey] = set()
         for entry in self._quarantines.entries():
-            if entry.is_active:
+            if entry.is_active and len(entry.crashes) > count:
                 explained.update(entry.crashes)
                 explained.update(self._evidence.unproved(entry.part_id))
         return explained
