--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -144,10 +144,6 @@
         self._probes.replace(vm_id, report.probes, now_ms)
         for quarantine in report.quarantines:
             self._quarantines.merge(quarantine, now_ms)
-            if quarantine.freed_age_ms is not None:
-                self._evidence.note_reported_proof(
-                    quarantine.part_id, now_ms - quarantine.freed_age_ms
-                )
         news = [
             (crash.endpoint_id, crash.incarnation)
             for crash in report.crashes
@@ -217,6 +213,8 @@
             parts.update(dict.fromkeys(self._evidence.suspects(key)))
         while self._blame_most_suspected(parts):
             self._changed = True
+        if self._quarantines.doubt_explained():
+            self._changed = True
 
     def _strike(self, key: CrashKey, now_ms: int) -> None:
         at_ms = self._evidence.crash_ms(key)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
@@ -21,7 +21,7 @@
 BLAME_PROVED_CRASHES = 3
 # The wait before the first trial; each further crash doubles it.
 _FIRST_HOLD_MS = 30_000
-# The wait for a part that was answered lately and is blamed beside another.
+# The wait for a part that is blamed beside a more likely one.
 _DOUBTFUL_HOLD_MS = 2000
 _MAX_HOLD_MS = 600_000
 # Crashes after which a part that was freed is blamed sooner.
@@ -155,6 +155,25 @@
         )
         self._recount()
 
+    def doubt_explained(self) -> bool:
+        """Shorten the hold of parts that came with one of more crashes.
+
+        They are tried, not freed: an innocent part may come with each request
+        that holds a deadly one.
+        """
+        active = [entry for entry in self.entries() if entry.is_active]
+        explained = [
+            entry
+            for entry in active
+            if not entry.is_doubtful
+            and any(
+                entry.crashes.keys() < other.crashes.keys() for other in active
+            )
+        ]
+        for entry in explained:
+            entry.is_doubtful = True
+        return bool(explained)
+
     def merge(self, reported: ReportedQuarantine, now_ms: int) -> None:
         """Take over what another VM knows of a part."""
         entry = _from_report(reported, now_ms)
