--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -16,17 +16,14 @@
 import msgspec
 from baobabwharf_core.ids import EndpointId, VmId
 
+from baobabwharf_decisions.proxying.blame_decision import BlameDecision
 from baobabwharf_decisions.proxying.crash_evidence import (
-    SIMULTANEOUS_NEW_MS,
     CrashEvidence,
     shared_part_ids,
 )
-from baobabwharf_decisions.proxying.crash_report import CrashKey, CrashReport
+from baobabwharf_decisions.proxying.crash_report import CrashReport
 from baobabwharf_decisions.proxying.part_probes import PartProbes
 from baobabwharf_decisions.proxying.part_quarantine import (
-    BLAME_NEW_CRASHES,
-    BLAME_PROVED_CRASHES,
-    Quarantine,
     QuarantineTable,
 )
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
@@ -64,6 +61,9 @@
         self._evidence = CrashEvidence()
         self._quarantines = QuarantineTable()
         self._probes = PartProbes(vm_id)
+        self._decision = BlameDecision(
+            self._evidence, self._quarantines, self._probes
+        )
         self._changed = False
 
     @property
@@ -88,7 +88,7 @@
         self._evidence.drop_expired(now_ms)
         if self._evidence.add_own(key, suspects, now_ms):
             self._changed = True
-            self._evaluate((key,), now_ms)
+            self._decision.evaluate((key,), now_ms)
 
     def note_answer(self, prompt: Prompt, now_ms: int) -> None:
         """Clear all parts of a prompt whose answer went on."""
@@ -101,7 +101,7 @@
         """Return whether a request may be sent."""
         if not self._quarantines.has_active:
             return _ALLOW
-        entries = self._active_parts(shared_part_ids(prompt))
+        entries = self._quarantines.active_of(shared_part_ids(prompt))
         if not entries:
             return _ALLOW
         wait_ms = max(self._probes.wait_ms(entry, now_ms) for entry in entries)
@@ -153,7 +153,8 @@
             at_ms = now_ms - proof.age_ms
             self._evidence.note_reported_proof(proof.part_id, at_ms)
             self._free((proof.part_id,), at_ms, now_ms)
-        self._evaluate(news, now_ms)
+        if self._decision.evaluate(news, now_ms):
+            self._changed = True
 
     def drop_expired(self, now_ms: int) -> None:
         """Forget evidence and quarantines that are too old."""
@@ -176,15 +177,11 @@
             f' strike {entry.strikes}, episode {entry.episode}'
         )
 
-    def _active_parts(self, part_ids: Iterable[str]) -> list[Quarantine]:
-        entries = (self._quarantines.active(part) for part in part_ids)
-        return [entry for entry in entries if entry is not None]
-
     def _free(self, part_ids: Iterable[str], at_ms: int, now_ms: int) -> None:
         freed = [
             entry
-            for entry in self._active_parts(part_ids)
-            if self._is_cleared(entry, at_ms)
+            for entry in self._quarantines.active_of(part_ids)
+            if self._decision.is_cleared(entry, at_ms)
         ]
         for entry in freed:
             self._quarantines.free(entry, at_ms)
@@ -192,95 +189,4 @@
             self._changed = True
         if freed:
             # Crashes that the freed part had explained count for others again.
-            self._evaluate(self._evidence.keys(), now_ms)
-
-    def _is_cleared(self, entry: Quarantine, proved_ms: int) -> bool:
-        if proved_ms > entry.blamed_ms:
-            return True
-        # A proof that arrived late may refute some of the crashes.
-        refuted = sum(
-            self._evidence.happened_by(key, proved_ms) for key in entry.crashes
-        )
-        left = len(entry.crashes) - refuted
-        return (
-            refuted > 0 and entry.strikes == 1 and left < BLAME_PROVED_CRASHES
-        )
-
-    def _evaluate(self, keys: Iterable[CrashKey], now_ms: int) -> None:
-        parts: dict[str, None] = {}
-        for key in keys:
-            self._strike(key, now_ms)
-            parts.update(dict.fromkeys(self._evidence.suspects(key)))
-        while self._blame_most_suspected(parts):
-            self._changed = True
-        if self._quarantines.doubt_explained():
-            self._changed = True
-
-    def _strike(self, key: CrashKey, now_ms: int) -> None:
-        at_ms = self._evidence.crash_ms(key)
-        entries = [
-            entry
-            for entry in self._active_parts(self._evidence.suspects(key))
-            if at_ms - entry.blamed_ms > SIMULTANEOUS_NEW_MS
-        ]
-        tried = [
-            entry
-            for entry in entries
-            if at_ms >= entry.due_ms or self._probes.is_running(entry, now_ms)
-        ]
-        for entry in tried or entries:
-            if self._quarantines.strike(entry, key, at_ms):
-                self._probes.cancel(entry.part_id)
-                self._changed = True
-
-    def _blame_most_suspected(self, part_ids: Iterable[str]) -> bool:
-        counted = {}
-        for part_id in part_ids:
-            crashes = self._counted_crashes(part_id)
-            if len(crashes) >= self._crashes_to_blame(part_id):
-                counted[part_id] = crashes
-        most = max((len(crashes) for crashes in counted.values()), default=0)
-        blamed = [each for each in counted if len(counted[each]) == most]
-        for part_id in blamed:
-            self._blame(part_id, counted[part_id], len(blamed) > 1)
-        return bool(blamed)
-
-    def _counted_crashes(self, part_id: str) -> list[CrashKey]:
-        before = self._quarantines.find(part_id)
-        if before is not None and before.is_active:
-            return []
-        freed_ms = None if before is None else before.freed_ms
-        crashes = self._evidence.counted(part_id, (), freed_ms)
-        if len(crashes) < self._crashes_to_blame(part_id):
-            return []
-        explained = self._explained_crashes(len(crashes))
-        return self._evidence.counted(part_id, explained, freed_ms)
-
-    def _blame(
-        self, part_id: str, crashes: list[CrashKey], is_tied: bool
-    ) -> None:
-        self._quarantines.blame(
-            part_id,
-            crashes,
-            self._evidence.crash_ms(crashes[-1]),
-            is_tied and self._evidence.was_proved(part_id),
-        )
-
-    def _crashes_to_blame(self, part_id: str) -> int:
-        if self._quarantines.is_watched(part_id):
-            return 1
-        if self._evidence.was_proved(part_id):
-            return BLAME_PROVED_CRASHES
-        return BLAME_NEW_CRASHES
-
-    def _explained_crashes(self, count: int) -> set[CrashKey]:
-        """Return the crashes with a refused part that was in more of them.
-
-        One with fewer or as many may be blamed only since it was noticed first.
-        """
-        explained: set[CrashKey] = set()
-        for entry in self._quarantines.entries():
-            if entry.is_active and len(entry.crashes) > count:
-                explained.update(entry.crashes)
-                explained.update(self._evidence.unproved(entry.part_id))
-        return explained
+            self._decision.evaluate(self._evidence.keys(), now_ms)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
@@ -99,6 +99,11 @@
         entry = self._entries.get(part_id)
         return entry if entry is not None and entry.is_active else None
 
+    def active_of(self, part_ids: Iterable[str]) -> list[Quarantine]:
+        """Return the quarantines of those parts that are refused."""
+        entries = (self.active(part_id) for part_id in part_ids)
+        return [entry for entry in entries if entry is not None]
+
     def find(self, part_id: str) -> Quarantine | None:
         """Return the last quarantine of a part."""
         return self._entries.get(part_id)
