--- a/features/unit/crash_blame.feature
+++ b/features/unit/crash_blame.feature
@@ -157,12 +157,20 @@
       | 2 VMs                      | 50    | 10      |
       | 40 VMs                     | 10    | 10      |
       | a companion part           | 50    | 10      |
-      | two deadly parts           | 50    | 10      |
       | reports in disorder        | 50    | 10      |
       | a VM restarts              | 50    | 10      |
       | a VM is partitioned        | 50    | 10      |
       | endpoints crash beside it  | 50    | 10      |
 
+  Scenario: The fleet names two deadly parts within five crashes each
+    When 50 fleets with deadly parts run: two deadly parts
+    Then each deadly part is named within 5 crashes
+    And no VM sends it once all could know
+
+  Scenario: Two deadly parts get few sound requests refused
+    When 50 fleets with deadly parts run: two deadly parts
+    Then at most 10 in 1000 sound requests are refused
+
   Scenario Outline: Crashes without a deadly part get nothing refused for long: <load>
     When 50 fleets without deadly parts run: <load>
     Then at most 1 in 1000 sound requests are refused
