Announce a commit to followers that acknowledge late

Cause: the leader kept one announced commit index for all members and skipped those with an append in flight. A follower that acknowledged an entry after the majority had committed it learned of the commit only at the next heartbeat (100 ms). For a withdrawn key this is the time for which the last follower still admits the key after the operator has the answer "accepted".

Change: the leader tracks for each member which commit index it was sent and can apply, and sends a newer one as soon as the member is idle.

--- a/packages/decisions/src/baobabwharf_decisions/consensus/leader.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/leader.py
@@ -126,12 +126,14 @@
 
 
 def announce_commit(replica: Replica) -> None:
-    """Send a newer commit index to idle members before the next heartbeat."""
-    if replica.commit <= replica.announced_commit:
-        return
-    replica.announced_commit = replica.commit
+    """Send a newer commit index to idle members before the next heartbeat.
+
+    A member that acknowledges an entry after its commit becomes idle later than
+    the others, so what was announced is tracked for each member.
+    """
     for member, progress in replica.progress.items():
-        if not progress.inflight:
+        newest = min(replica.commit, progress.expected_index)
+        if not progress.inflight and newest > progress.announced_commit:
             _send_empty(replica, member, progress)
 
 
@@ -192,13 +194,7 @@
 
 
 def _send_empty(replica: Replica, member: VmId, progress: Progress) -> None:
-    # While the member is probed, only its match index is sure to match.  A
-    # rejected heartbeat would restart the probe again and again.
-    matched = progress.match_index
-    previous = (
-        matched if progress.probing else LogIndex(progress.next_index - 1)
-    )
-    _send_append(replica, member, progress, previous, ())
+    _send_append(replica, member, progress, progress.expected_index, ())
 
 
 def _send_append(
@@ -214,6 +210,11 @@
         # needs a snapshot.
         previous = replica.log.snapshot.last_index
         previous_term = replica.log.snapshot.last_term
+    # A member commits no entry after those that the message covers.
+    covered = LogIndex(previous + len(entries))
+    progress.announced_commit = max(
+        progress.announced_commit, min(replica.commit, covered)
+    )
     message = Append(
         replica.vm_id,
         replica.term,
--- a/packages/decisions/src/baobabwharf_decisions/consensus/replica.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/replica.py
@@ -37,6 +37,8 @@
     session: int
     next_index: LogIndex
     match_index: LogIndex = NO_INDEX
+    # The highest commit index that the member was sent and can apply.
+    announced_commit: LogIndex = NO_INDEX
     inflight: int = 0
     probing: bool = True
     sent_ms: int = 0
@@ -46,6 +48,15 @@
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
 
+    @property
+    def expected_index(self) -> LogIndex:
+        """Return the last index that the member's log is expected to match."""
+        # While the member is probed, only its match index is sure to match.  A
+        # rejected heartbeat would restart the probe again and again.
+        if self.probing:
+            return self.match_index
+        return LogIndex(self.next_index - 1)
+
 
 @dataclass(slots=True)
 class PendingRead:
@@ -79,7 +90,6 @@
     last_session: int = 0
     heartbeat_sent_ms: int = 0
     leader_since_ms: int = 0
-    announced_commit: LogIndex = NO_INDEX
     read_round: int = 0
     reads: list[PendingRead] = field(default_factory=list)
     transfer_target: VmId | None = None
