Test a withdrawal against what its answer states

Such an answer says "accepted": a majority of the disk VMs holds the change. The third disk VM may not have it yet, admits the key, begins the stream and ends it when the withdrawal arrives. Which VM that is depends on the leader and on the load.

Change: the scenario withdraws with wait=fleet, demands in_force within 5 s (the stated target for changes) and asks all VMs at once, before anything else; each must refuse with 401.

Ruled out: the operator listener, the leader's order of apply and answer, and the confirmation by revision (a VM reports a revision only once its key index uses it).

The failure itself was not reproduced in the scenario on the old code.

--- a/features/functional/fleet.feature
+++ b/features/functional/fleet.feature
@@ -19,6 +19,13 @@
     When the key of a fleet caller is withdrawn while it streams
     Then the fleet stream ends with an error and the key is refused everywhere
 
+  Scenario: A withdrawal reaches a VM that was cut off
+    Given the fleet runs
+    When a fleet key is withdrawn while a VM is cut off from the others
+    Then the fleet key works at no VM that the answer says is up to date
+    When the fleet is connected again
+    Then the fleet key is refused everywhere within seconds
+
   Scenario: A booking that is sent again at other VMs runs once
     Given the fleet runs
     When a fleet booking is sent at all VMs at once and again later
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -28,6 +28,10 @@
 
 _SEED = 11
 _CONVERGENCE_TIMEOUT_S = 20
+# A change must be in force on all VMs within 5 s.
+_IN_FORCE_MS = 5000
+# Long enough for the other VMs, while one of them cannot answer.
+_SHORT_WAIT_MS = 1000
 _FLOOD_S = 3
 _FLOOD_RATE = 300
 # Concurrent calls to each of the 4 VMs.
@@ -169,22 +173,77 @@
     )
     time.sleep(0.5)
     change = WithdrawKey(KeyId(name))
-    fleet.run(fleet.fixture.change_until_accepted(_vm(FIRST_REGION), change))
+    # "accepted" alone says that a majority of the disk VMs has the withdrawal.
+    answer = fleet.run(
+        fleet.fixture.change_until_accepted(
+            _vm(FIRST_REGION), change, _IN_FORCE_MS
+        )
+    )
+    # Sent before anything else, so that no VM has time to learn of it late.
+    context.refused = _ask_everywhere(fleet, context.key)
+    assert answer.in_force is True, answer
     context.result_and_response = future.result(30)
 
 
+def _ask_everywhere(fleet: FleetSubject, key: str) -> dict:
+    async def ask() -> dict:
+        vm_ids = fleet.vm_ids()
+        answers = await asyncio.gather(
+            *(fleet.fixture.send(key, vm_id, fleet.chat()) for vm_id in vm_ids)
+        )
+        return dict(zip(vm_ids, answers, strict=True))
+
+    return fleet.run(ask())
+
+
 @then('the fleet stream ends with an error and the key is refused everywhere')
 def stream_ended(context: Context) -> None:
     result, response = context.result_and_response
     assert result.outcome in {Outcome.FAILED, Outcome.BROKEN}, result
     assert response.content.count(b'data: ') > 1
-    fleet = context.fleet
-    for vm_id in fleet.vm_ids():
-        sent = fleet.fixture.send(context.key, vm_id, fleet.chat())
-        refused, response = fleet.run(sent)
+    for vm_id, (refused, response) in context.refused.items():
         assert response.status == 401, (vm_id, refused)
 
 
+@when('a fleet key is withdrawn while a VM is cut off from the others')
+def withdrawn_at_cut(context: Context) -> None:
+    fleet = context.fleet
+    name = fleet.new_name()
+    context.key = fleet.run(fleet.fixture.create_customer(name))
+    context.cut = _vm(SECOND_REGION)
+    others = set(fleet.vm_ids()) - {context.cut}
+    links = fleet.fixture.fleet.links
+    fleet.loop.call(lambda: links.partition({context.cut}, others))
+    change = WithdrawKey(KeyId(name))
+    context.answer = fleet.run(
+        fleet.fixture.change_until_accepted(
+            _vm(FIRST_REGION), change, _SHORT_WAIT_MS
+        )
+    )
+    context.refused = _ask_everywhere(fleet, context.key)
+
+
+@then('the fleet key works at no VM that the answer says is up to date')
+def works_nowhere(context: Context) -> None:
+    behind = set(context.answer.behind)
+    assert behind <= {context.cut}, context.answer
+    for vm_id, (refused, response) in context.refused.items():
+        if vm_id != context.cut:
+            assert response.status == 401, (vm_id, refused)
+
+
+@then('the fleet key is refused everywhere within seconds')
+def refused_in_seconds(context: Context) -> None:
+    fleet = context.fleet
+    deadline_s = time.monotonic() + _IN_FORCE_MS / 1000
+    while time.monotonic() < deadline_s:
+        answers = _ask_everywhere(fleet, context.key)
+        statuses = {response.status for _, response in answers.values()}
+        if statuses == {401}:
+            return
+    raise AssertionError(answers)
+
+
 @when('a fleet booking is sent at all VMs at once and again later')
 def booked(context: Context) -> None:
     fleet = context.fleet
--- a/packages/testkit/src/baobabwharf_testkit/fleet_fixture.py
+++ b/packages/testkit/src/baobabwharf_testkit/fleet_fixture.py
@@ -8,7 +8,6 @@
 from baobabwharf_core.changes import (
     Change,
     ChangeCode,
-    ChangeOutcome,
     CreateCustomer,
     CreateKey,
 )
@@ -40,7 +39,11 @@
 )
 from baobabwharf_testkit.fleet_setup import make_change, set_up_services
 from baobabwharf_testkit.load import Caller, EntryVms
-from baobabwharf_testkit.operator_client import key_digest, new_key
+from baobabwharf_testkit.operator_client import (
+    FleetAnswer,
+    key_digest,
+    new_key,
+)
 from baobabwharf_testkit.readiness import Probe, wait_until_ready
 from baobabwharf_testkit.request_records import (
     RequestRecords,
@@ -148,8 +151,9 @@
         request_id: RequestId | None = None,
         expected: Revision | None = None,
         attempts: int = 1,
-    ) -> ChangeOutcome:
-        """Submit a change to one VM."""
+        wait_ms: int = 0,
+    ) -> FleetAnswer:
+        """Submit a change to one VM; wait for the fleet for up to wait_ms."""
         operator = self._fleet.operator(vm_id)
         try:
             return await operator.change(
@@ -157,15 +161,16 @@
                 request_id=request_id,
                 expected=expected,
                 attempts=attempts,
+                wait_ms=wait_ms,
             )
         finally:
             await operator.close()
 
     async def change_until_accepted(
-        self, vm_id: str, change: Change
-    ) -> ChangeOutcome:
+        self, vm_id: str, change: Change, wait_ms: int = 0
+    ) -> FleetAnswer:
         """Submit a change until it is accepted."""
-        outcome = await self.change(vm_id, change, attempts=30)
+        outcome = await self.change(vm_id, change, attempts=30, wait_ms=wait_ms)
         assert outcome.code is ChangeCode.ACCEPTED, outcome
         return outcome
 
--- a/packages/testkit/src/baobabwharf_testkit/operator_client.py
+++ b/packages/testkit/src/baobabwharf_testkit/operator_client.py
@@ -42,6 +42,16 @@
     return RequestId(f'op-{uuid.uuid4()}')
 
 
+class FleetAnswer(ChangeOutcome, frozen=True):
+    """Report also whether all live VMs confirmed the change.
+
+    in_force is None if the answer did not wait for the fleet.
+    """
+
+    in_force: bool | None = None
+    behind: tuple[str, ...] = ()
+
+
 class OperatorClient:
     """Send changes to any VM that answers."""
 
@@ -66,12 +76,12 @@
         expected: Revision | None = None,
         wait_ms: int = 0,
         attempts: int = 10,
-    ) -> ChangeOutcome:
+    ) -> FleetAnswer:
         """Submit a change; resend under the same id until it is answered."""
         request = ChangeRequest(
             request_id or new_request_id(), change, expected
         )
-        outcome = ChangeOutcome(
+        outcome = FleetAnswer(
             request.request_id, ChangeCode.UNKNOWN, Revision(0), 'No answer.'
         )
         for _ in range(attempts):
@@ -96,7 +106,7 @@
 
     async def _send(
         self, request: ChangeRequest, wait_ms: int
-    ) -> ChangeOutcome | None:
+    ) -> FleetAnswer | None:
         query = f'?wait=fleet&timeout_ms={wait_ms}' if wait_ms else ''
         url = f'{self._urls[0]}/operator/v1/changes{query}'
         try:
@@ -106,7 +116,7 @@
                 headers={'Content-Type': 'application/json'},
             ) as response:
                 return msgspec.json.decode(
-                    await response.read(), type=ChangeOutcome
+                    await response.read(), type=FleetAnswer
                 )
         except _FAILURES:
             return None
