Let requests know when the drain of their VM ends

Cause: the drain refused requests whose headers came after SIGTERM, but the end of the drain was unknown to requests accepted before it. A request whose body ended late was started and cut at the drain deadline, a queued one waited for that deadline, and both, like any running one, were closed without an answer or an error event.

Change: a pure decision (may_start) lets a request start during a drain only if its own deadline falls before the end of the drain. Queued requests that fail it are refused at SIGTERM, half-read ones when their body has ended, both as not executed and with Connection: close. What still runs when the drain ends gets an explicit error; "executed: no" only if nothing was sent and nothing goes on. Calls that are not repeatable go on without their caller, so they get "unknown".

Ruled out: requests whose headers arrive after SIGTERM; they were refused as not executed before.

--- a/features/functional/gateway_callers.feature
+++ b/features/functional/gateway_callers.feature
@@ -100,6 +100,29 @@
     When the gateway drains while a stream runs
     Then the gateway finished the stream and refused new requests as not executed
 
+  Scenario: A request that could outlast the drain is not started
+    Guards against work that begins long after the stop and is cut at its end.
+    Given a gateway VM with endpoints "slow" that drains for 3000 ms
+    When a gateway request whose body began before the stop ends after it
+    Then the gateway refused the request as not executed and called no endpoint
+
+  Scenario: A queued request that could outlast the drain is refused at once
+    Guards against callers that wait for the drain deadline to get no answer.
+    Given a gateway VM with endpoints "sound" that drains for 3000 ms
+    When the gateway stops while a request waits for an endpoint
+    Then the gateway refused the request as not executed and called no endpoint
+
+  Scenario Outline: A drain that ends early gives running requests an error
+    Guards against connections that close without an answer or an error event.
+    Given a gateway VM with endpoints "<endpoint>" that drains for 300 ms
+    When the drain of the gateway ends while a <kind> answer runs
+    Then the caller of the gateway was told that its request may have run
+
+    Examples:
+      | endpoint | kind   |
+      | slow     | stream |
+      | hang     | whole  |
+
   Scenario: A second stop request ends the drain
     Given a gateway VM with endpoints "hang"
     Then a second stop request ends the drain of the gateway
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
@@ -1,7 +1,10 @@
 """Handle calls that VMs of other regions forward to this VM."""
 
+import asyncio
 import hmac
 
+import msgspec
+from baobabwharf_core.clock import Clock
 from baobabwharf_core.ids import RegionId
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import RequestAttributes
@@ -45,6 +48,7 @@
         records: RequestRecords,
         running: RunningRequests,
         drain: Drain,
+        clock: Clock,
     ) -> None:
         self._region = region
         self._secret = secret.encode()
@@ -52,6 +56,7 @@
         self._records = records
         self._running = running
         self._drain = drain
+        self._clock = clock
 
     def add_to(self, app: Sanic) -> None:
         """Register the route with the app of the forward listener."""
@@ -71,14 +76,31 @@
         return None
 
     async def _run(self, call: Call, writer: ResponseWriter) -> None:
-        running = RunningRequest(b'', current_task())
+        progress = Progress()
+        task = current_task()
+        deadline_at_ms = self._clock.now_ms() + call.attributes.deadline_ms
+        running = RunningRequest(b'', task, deadline_at_ms, progress)
         self._running.add(running)
         try:
-            await self._respond(call, writer)
+            await self._respond(call, writer, progress)
+        except asyncio.CancelledError:
+            if running.cancel_refusal is None:
+                raise
+            task.uncancel()
+            await _refuse(
+                msgspec.structs.replace(
+                    running.cancel_refusal, executed=running.executed
+                ),
+                writer,
+                call.attributes.request_id,
+                streaming=call.attributes.streaming,
+            )
         finally:
             self._running.remove(running)
 
-    async def _respond(self, call: Call, writer: ResponseWriter) -> None:
+    async def _respond(
+        self, call: Call, writer: ResponseWriter, progress: Progress
+    ) -> None:
         attributes = call.attributes
         refusal = self._check_acceptance(attributes)
         if refusal is None:
@@ -87,7 +109,7 @@
             for event in ('authenticate', 'reserve', 'queue'):
                 record.step(event)
             outcome = await self._executor.execute(
-                call, writer, record, Progress()
+                call, writer, record, progress
             )
             if outcome.is_ok():
                 record.end('answered')
--- a/packages/daemon/src/baobabwharf_daemon/gateway/call_runner.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/call_runner.py
@@ -3,10 +3,16 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from baobabwharf_core.refusals import Executed, Refusal
+import msgspec
+from baobabwharf_core.clock import Clock
+from baobabwharf_core.refusals import Refusal
 from expression import Result
 
-from baobabwharf_daemon.gateway.calls import Call, ResponseWriter
+from baobabwharf_daemon.gateway.calls import (
+    Call,
+    Progress,
+    ResponseWriter,
+)
 from baobabwharf_daemon.gateway.current_task import current_task
 from baobabwharf_daemon.gateway.errors import (
     count_refusal,
@@ -51,8 +57,9 @@
 class CallRunner:
     """Run calls so that they can be cancelled when a key is withdrawn."""
 
-    def __init__(self, running: RunningRequests) -> None:
+    def __init__(self, running: RunningRequests, clock: Clock) -> None:
         self._running = running
+        self._clock = clock
 
     async def run(
         self,
@@ -61,10 +68,15 @@
         writer: ResponseWriter,
         record: RequestRecord,
         handle: CallHandler,
+        progress: Progress | None = None,
     ) -> None:
-        """Run the handler of a call and respond to the caller."""
+        """Run the handler of a call and respond to the caller.
+
+        The progress is None if the call goes on after a cancellation.
+        """
         task = current_task()
-        running = RunningRequest(digest, task)
+        deadline_at_ms = self._clock.now_ms() + call.attributes.deadline_ms
+        running = RunningRequest(digest, task, deadline_at_ms, progress)
         self._running.add(running)
         try:
             await self._run_handler(call, writer, record, handle)
@@ -77,9 +89,10 @@
                 _count(call, 'caller_gone')
                 raise
             task.uncancel()
-            await _refuse_cancelled(
-                running.cancel_refusal, writer, call, record
+            refusal = msgspec.structs.replace(
+                running.cancel_refusal, executed=running.executed
             )
+            await _refuse_cancelled(refusal, writer, call, record)
         finally:
             self._running.remove(running)
 
@@ -111,19 +124,17 @@
     refusal: Refusal, writer: ResponseWriter, call: Call, record: RequestRecord
 ) -> None:
     record.note(f'Cut off: {refusal.code.value}.')
-    executed = Executed.UNKNOWN
-    reported = Refusal(refusal.code, executed)
+    writer.close_after_response()
     try:
         async with asyncio.timeout(_LAST_EVENT_TIMEOUT_S):
             await refuse(
-                reported,
+                refusal,
                 writer,
                 call.attributes.request_id,
                 streaming=call.attributes.streaming,
             )
     except TimeoutError:
         writer.abort()
-    writer.close_after_response()
 
 
 def _count(call: Call, outcome: str) -> None:
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -184,6 +184,15 @@
         writer: ResponseWriter,
         idempotency_key: str | None = None,
     ) -> None:
+        # The drain may have begun while the body was read.
+        refusal = self._dependencies.drain.check_start(
+            call.attributes.deadline_ms
+        )
+        if refusal is not None:
+            await self._refuse(refusal, writer)
+            return
+        if self._dependencies.drain.stopping:
+            writer.close_after_response()
         self._bodies.retain(len(call.body))
         try:
             await self._execute(call, digest, writer, idempotency_key)
@@ -207,12 +216,14 @@
                 ),
             )
             return
+        progress = Progress()
         await dependencies.call_runner.run(
             call,
             digest,
             writer,
             record,
-            lambda: dependencies.pipeline.run(call, writer, record, Progress()),
+            lambda: dependencies.pipeline.run(call, writer, record, progress),
+            progress,
         )
 
     def _admit(self, request: Request) -> Caller | Refusal:
--- a/packages/daemon/src/baobabwharf_daemon/gateway/running_requests.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/running_requests.py
@@ -3,26 +3,59 @@
 import asyncio
 from typing import Any
 
-from baobabwharf_core.refusals import Refusal
+from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
+from baobabwharf_decisions.drain_window import may_start
 
 from baobabwharf_daemon.gateway.auth import KeyIndex
+from baobabwharf_daemon.gateway.calls import Progress
 from baobabwharf_daemon.interfaces import ConfigSource
 
 # Requests in progress must end within 1 s of the withdrawal of their key.
 WITHDRAWAL_CHECK_INTERVAL_S = 0.2
+_STOPPING = Refusal(RefusalCode.VM_STOPPING, retry_after_ms=0)
 
 
 class RunningRequest:
-    """Hold the task and the key digest of one running request."""
-
-    __slots__ = ('cancel_refusal', 'digest', 'task')
-
-    def __init__(self, digest: bytes, task: asyncio.Task[Any]) -> None:
+    """Hold the task, the key digest and the progress of one request.
+
+    The progress is None if the call goes on after its task is cancelled.
+    """
+
+    __slots__ = (
+        'cancel_refusal',
+        'deadline_at_ms',
+        'digest',
+        'progress',
+        'task',
+    )
+
+    def __init__(
+        self,
+        digest: bytes,
+        task: asyncio.Task[Any],
+        deadline_at_ms: int,
+        progress: Progress | None,
+    ) -> None:
         self.digest = digest
         self.task = task
+        self.deadline_at_ms = deadline_at_ms
+        self.progress = progress
         # Set if this VM cancels the request; None if the caller disconnects.
         self.cancel_refusal: Refusal | None = None
 
+    @property
+    def executed(self) -> Executed:
+        """Return whether the request may run or have run when cancelled."""
+        if self.progress is None or self.progress.sent:
+            return Executed.UNKNOWN
+        return Executed.NO
+
+    def cancel(self, refusal: Refusal) -> None:
+        """Cancel the request with a refusal; the first one is kept."""
+        if self.cancel_refusal is None:
+            self.cancel_refusal = refusal
+            self.task.cancel()
+
 
 class RunningRequests:
     """Track running requests and cancel those of withdrawn keys."""
@@ -80,6 +113,17 @@
             if digest not in refusals:
                 refusals[digest] = self._keys.refusal_of(digest)
             refusal = refusals[digest]
-            if refusal is not None and running.cancel_refusal is None:
-                running.cancel_refusal = refusal
-                running.task.cancel()
+            if refusal is not None:
+                running.cancel(refusal)
+
+    def refuse_late(self, drain_end_ms: int) -> None:
+        """Refuse waiting requests that may outlast the drain."""
+        for running in self._running:
+            waiting = running.executed is Executed.NO
+            if waiting and not may_start(drain_end_ms, running.deadline_at_ms):
+                running.cancel(_STOPPING)
+
+    def cut_off(self) -> None:
+        """End all requests with an explicit error."""
+        for running in self._running:
+            running.cancel(_STOPPING)
--- a/packages/daemon/src/baobabwharf_daemon/gateway_builder.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_builder.py
@@ -118,8 +118,10 @@
         )
         drain = Drain(
             dependencies.membership,
-            (self._running, idempotency_guard),
+            self._running,
+            (idempotency_guard,),
             dependencies.settings.drain_deadline_ms,
+            dependencies.clock,
         )
         background_jobs: list[BackgroundJob] = [
             self._running.check_keys_forever
@@ -157,7 +159,7 @@
             records=self._records,
             pipeline=pipeline,
             idempotency_guard=idempotency_guard,
-            call_runner=CallRunner(self._running),
+            call_runner=CallRunner(self._running, dependencies.clock),
             running=self._running,
             drain=drain,
         )
@@ -180,6 +182,7 @@
             self._records,
             self._running,
             drain,
+            self._dependencies.clock,
         ).add_to(app)
         port = self._dependencies.settings.listen.forward_port
         return Listener(app, self._host, port, self._contexts.server)
