Close the connection of a plain answer while the VM drains

Cause: refusals and answers of /v1/models, /v1/entry-vms and /health kept the connection open on a draining VM, so callers went on using it until the listener closed it.

Change: these answers carry Connection: close while the VM drains. /metrics is unchanged, since a scraper follows the drain to its end.

Ruled out: chat and service refusals, which already closed theirs.

Evidence: the new scenario drives two gateways, whose stops overlap, over connections that stay in use until both are gone. Only requests that cross the end of a connection get no answer.

--- a/features/functional/gateway_forwarding.feature
+++ b/features/functional/gateway_forwarding.feature
@@ -27,3 +27,10 @@
     Given two gateway VMs in regions with endpoints "sound"
     When the serving VM of the gateway is down
     Then the gateway gave the error "region_unreachable" with executed "no"
+
+  Scenario: Callers that go on using open connections get whole answers
+    Guards against refusals that keep a connection open on a stopping VM, and
+    against answers cut by stops that overlap.
+    Given two gateway VMs in regions with endpoints "sound"
+    When callers use open connections of two gateways until both have stopped
+    Then each answer was whole and each refusal closed its connection
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -249,12 +249,14 @@
         await refuse(refusal, writer, request_id, streaming=False)
 
     async def _models(self, request: Request) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         caller = self._admit(request)
         if isinstance(caller, Refusal):
             return self._plain_refusal(caller)
         return _json(model_list(self._dependencies.catalog))
 
     async def _model(self, request: Request, model: str) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         caller = self._admit(request)
         if isinstance(caller, Refusal):
             return self._plain_refusal(caller)
@@ -269,6 +271,7 @@
         )
 
     async def _entry_vms(self, request: Request) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         dependencies = self._dependencies
         return _json(
             list_entry_vms(
@@ -286,6 +289,7 @@
         )
 
     async def _health(self, request: Request) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         refusal = self._ready()
         if refusal is None:
             return _json({'ready': True})
@@ -296,5 +300,11 @@
         )
 
 
+def _close_if_stopping(drain: Drain, request: Request) -> None:
+    """Announce the end of the connection while this VM drains."""
+    if drain.stopping:
+        SanicResponseWriter(request).close_after_response()
+
+
 def _json(content: object) -> HTTPResponse:
     return HTTPResponse(msgspec.json.encode(content), content_type=_JSON)
