Let a drain wait for forwarded calls that are still being read

Cause: sanic read the body of a forwarded call before the handler ran, so a drain did not count the call. With nothing else to do, the VM closed the connection in the middle of the body, and the entry VM could only report "executed: unknown" for a call that had not run.

Change: the forward route reads the body itself, is counted from the first read on, and bounds the read by the body timeout that callers have.

Ruled out: acceptance after SIGTERM; the drain is checked after the body.

--- a/features/functional/gateway_forwarding.feature
+++ b/features/functional/gateway_forwarding.feature
@@ -28,6 +28,13 @@
     When the serving VM of the gateway is down
     Then the gateway gave the error "region_unreachable" with executed "no"
 
+  Scenario: A forwarded request that is still being read survives a drain
+    Guards against a connection that closes in the middle of a forwarded body,
+    which leaves the entry VM unable to say that the request has not run.
+    Given a gateway VM with endpoints "sound" that drains for 5000 ms
+    When a body forwarded to the gateway ends after the others left the drain
+    Then the gateway refused the request as not executed and called no endpoint
+
   Scenario: Callers that go on using open connections get whole answers
     Guards against refusals that keep a connection open on a stopping VM, and
     against answers cut by stops that overlap.
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
@@ -18,6 +18,7 @@
     encode_refusal,
 )
 from baobabwharf_daemon.forwarding.local_executor import LocalExecutor
+from baobabwharf_daemon.gateway.body_reader import BODY_TIMEOUT_S
 from baobabwharf_daemon.gateway.calls import Call, Progress, ResponseWriter
 from baobabwharf_daemon.gateway.current_task import current_task
 from baobabwharf_daemon.gateway.drain import Drain
@@ -60,13 +61,35 @@
 
     def add_to(self, app: Sanic) -> None:
         """Register the route with the app of the forward listener."""
-        app.add_route(self._handle, FORWARD_PATH, methods=['POST'])
+
+        # sanic sets an attribute on streaming handlers; bound methods do not
+        # allow that.
+        async def handle(request: Request) -> HTTPResponse | None:
+            # A drain waits for calls whose body is still being read, too.
+            self._running.enter()
+            try:
+                return await self._handle(request)
+            finally:
+                self._running.leave()
+
+        app.add_route(handle, FORWARD_PATH, methods=['POST'], stream=True)
 
     async def _handle(self, request: Request) -> HTTPResponse | None:
         secret = request.headers.get(FLEET_SECRET_HEADER, '').encode()
         if not hmac.compare_digest(secret, self._secret):
             return HTTPResponse(status=_UNAUTHORIZED)
         writer = SanicResponseWriter(request)
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                await request.receive_body()
+        except TimeoutError:
+            refusal = Refusal(
+                RefusalCode.INVALID_REQUEST,
+                detail='The body was not sent in time.',
+            )
+            await _refuse(refusal, writer, '', streaming=False)
+            writer.close_after_delay()
+            return None
         decoded = decode_call(request.body)
         if decoded.is_error():
             refusal = Refusal(RefusalCode.INVALID_REQUEST, detail=decoded.error)
