--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
@@ -1,7 +1,10 @@
 """Handle calls that VMs of other regions forward to this VM."""
 
+import asyncio
 import hmac
 
+import msgspec
+from baobabwharf_core.clock import Clock
 from baobabwharf_core.ids import RegionId
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_core.requests import RequestAttributes
@@ -15,6 +18,7 @@
     encode_refusal,
 )
 from baobabwharf_daemon.forwarding.local_executor import LocalExecutor
+from baobabwharf_daemon.gateway.body_reader import BODY_TIMEOUT_S
 from baobabwharf_daemon.gateway.calls import Call, Progress, ResponseWriter
 from baobabwharf_daemon.gateway.current_task import current_task
 from baobabwharf_daemon.gateway.drain import Drain
@@ -45,6 +49,7 @@
         records: RequestRecords,
         running: RunningRequests,
         drain: Drain,
+        clock: Clock,
     ) -> None:
         self._region = region
         self._secret = secret.encode()
@@ -52,16 +57,39 @@
         self._records = records
         self._running = running
         self._drain = drain
+        self._clock = clock
 
     def add_to(self, app: Sanic) -> None:
         """Register the route with the app of the forward listener."""
-        app.add_route(self._handle, FORWARD_PATH, methods=['POST'])
+
+        # sanic sets an attribute on streaming handlers; bound methods do not
+        # allow that.
+        async def handle(request: Request) -> HTTPResponse | None:
+            # A drain waits for calls whose body is still being read, too.
+            self._running.enter()
+            try:
+                return await self._handle(request)
+            finally:
+                self._running.leave()
+
+        app.add_route(handle, FORWARD_PATH, methods=['POST'], stream=True)
 
     async def _handle(self, request: Request) -> HTTPResponse | None:
         secret = request.headers.get(FLEET_SECRET_HEADER, '').encode()
         if not hmac.compare_digest(secret, self._secret):
             return HTTPResponse(status=_UNAUTHORIZED)
         writer = SanicResponseWriter(request)
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                await request.receive_body()
+        except TimeoutError:
+            refusal = Refusal(
+                RefusalCode.INVALID_REQUEST,
+                detail='The body was not sent in time.',
+            )
+            await _refuse(refusal, writer, '', streaming=False)
+            writer.close_after_delay()
+            return None
         decoded = decode_call(request.body)
         if decoded.is_error():
             refusal = Refusal(RefusalCode.INVALID_REQUEST, detail=decoded.error)
@@ -71,14 +99,31 @@
         return None
 
     async def _run(self, call: Call, writer: ResponseWriter) -> None:
-        running = RunningRequest(b'', current_task())
+        progress = Progress()
+        task = current_task()
+        deadline_at_ms = self._clock.now_ms() + call.attributes.deadline_ms
+        running = RunningRequest(b'', task, deadline_at_ms, progress)
         self._running.add(running)
         try:
-            await self._respond(call, writer)
+            await self._respond(call, writer, progress)
+        except asyncio.CancelledError:
+            if running.cancel_refusal is None:
+                raise
+            task.uncancel()
+            await _refuse(
+                msgspec.structs.replace(
+                    running.cancel_refusal, executed=running.executed
+                ),
+                writer,
+                call.attributes.request_id,
+                streaming=call.attributes.streaming,
+            )
         finally:
             self._running.remove(running)
 
-    async def _respond(self, call: Call, writer: ResponseWriter) -> None:
+    async def _respond(
+        self, call: Call, writer: ResponseWriter, progress: Progress
+    ) -> None:
         attributes = call.attributes
         refusal = self._check_acceptance(attributes)
         if refusal is None:
@@ -87,7 +132,7 @@
             for event in ('authenticate', 'reserve', 'queue'):
                 record.step(event)
             outcome = await self._executor.execute(
-                call, writer, record, Progress()
+                call, writer, record, progress
             )
             if outcome.is_ok():
                 record.end('answered')
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -184,6 +184,15 @@
         writer: ResponseWriter,
         idempotency_key: str | None = None,
     ) -> None:
+        # The drain may have begun while the body was read.
+        refusal = self._dependencies.drain.check_start(
+            call.attributes.deadline_ms
+        )
+        if refusal is not None:
+            await self._refuse(refusal, writer)
+            return
+        if self._dependencies.drain.stopping:
+            writer.close_after_response()
         self._bodies.retain(len(call.body))
         try:
             await self._execute(call, digest, writer, idempotency_key)
@@ -207,12 +216,14 @@
                 ),
             )
             return
+        progress = Progress()
         await dependencies.call_runner.run(
             call,
             digest,
             writer,
             record,
-            lambda: dependencies.pipeline.run(call, writer, record, Progress()),
+            lambda: dependencies.pipeline.run(call, writer, record, progress),
+            progress,
         )
 
     def _admit(self, request: Request) -> Caller | Refusal:
@@ -238,12 +249,14 @@
         await refuse(refusal, writer, request_id, streaming=False)
 
     async def _models(self, request: Request) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         caller = self._admit(request)
         if isinstance(caller, Refusal):
             return self._plain_refusal(caller)
         return _json(model_list(self._dependencies.catalog))
 
     async def _model(self, request: Request, model: str) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         caller = self._admit(request)
         if isinstance(caller, Refusal):
             return self._plain_refusal(caller)
@@ -258,6 +271,7 @@
         )
 
     async def _entry_vms(self, request: Request) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         dependencies = self._dependencies
         return _json(
             list_entry_vms(
@@ -275,6 +289,7 @@
         )
 
     async def _health(self, request: Request) -> HTTPResponse:
+        _close_if_stopping(self._dependencies.drain, request)
         refusal = self._ready()
         if refusal is None:
             return _json({'ready': True})
@@ -285,5 +300,11 @@
         )
 
 
+def _close_if_stopping(drain: Drain, request: Request) -> None:
+    """Announce the end of the connection while this VM drains."""
+    if drain.stopping:
+        SanicResponseWriter(request).close_after_response()
+
+
 def _json(content: object) -> HTTPResponse:
     return HTTPResponse(msgspec.json.encode(content), content_type=_JSON)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/drain_window.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/drain_window.py
@@ -9,6 +9,8 @@
 
 from baobabwharf_core.refusals import Refusal, RefusalCode
 
+from baobabwharf_decisions.drain_rule import may_start
+
 # Callers use a cached address for about this time after a VM has left the
 # directory; refused, many would only reach another VM that is stopping.
 STALE_ADDRESS_MS = 3000
@@ -48,7 +50,9 @@
         A request ends at its deadline at the latest.  Other VMs do not need
         the time for stale addresses: they learn by gossip that this one leaves.
         """
-        if self._ends_ms is None or deadline_ms <= self._ends_ms - _FLUSH_MS:
+        if self._ends_ms is None:
+            return None
+        if may_start(self._ends_ms - _FLUSH_MS, deadline_ms):
             return None
         if not forwarded and now_ms < self._stale_until_ms:
             return None
