Bound what an endpoint may send that is no response

Cause: the response reader counted nothing. A head, a header line, a trailer, interim responses or the body of a response to another request could grow or go on until the deadline; a 101 response raised HttpParserUpgrade out of the protocol's callback; bytes after a complete response were parsed on.

Change: lines, heads with trailers, and skipped bodies are counted per request; the first bound that is exceeded loses the response (oversized_head or foreign_reply in the log), in one block as in pieces. A connection whose complete response is followed by bytes is closed at once.

Passed on the old code, too, and kept: a caller that reads slowly slows down the endpoint; bytes without end after a response; a close-delimited response.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -1,8 +1,9 @@
 Feature: Requests through an entry VM to endpoints that misbehave
   Guards against responses that belong to another request or look complete
   although they were truncated, against requests that run twice or are reported
-  as not run although they may have run, and against work that goes on after
-  its caller disconnected.
+  as not run although they may have run, against work that goes on after its
+  caller disconnected, and against memory that grows with what an endpoint sends
+  or a caller does not read.
 
   Scenario: A request and its response pass unchanged
     Given an entry VM with endpoints that behave as: ok
@@ -17,15 +18,16 @@
     And the endpoints were sent <sent> requests
 
     Examples:
-      | behaviour   | status | sent |
-      | reset       | 502    | 1    |
-      | close       | 502    | 1    |
-      | truncate    | 502    | 1    |
-      | reset-body  | 502    | 1    |
-      | garbage     | 502    | 1    |
-      | unsigned    | 502    | 1    |
-      | bare-503    | 502    | 1    |
-      | no-response | 504    | 1    |
+      | behaviour          | status | sent |
+      | reset              | 502    | 1    |
+      | close              | 502    | 1    |
+      | truncate           | 502    | 1    |
+      | reset-body         | 502    | 1    |
+      | garbage            | 502    | 1    |
+      | unsigned           | 502    | 1    |
+      | bare-503           | 502    | 1    |
+      | no-response        | 504    | 1    |
+      | upgrade            | 502    | 1    |
 
   Scenario Outline: A request that did not run is retried at the second endpoint: <behaviour>
     Given an entry VM with endpoints that behave as: <behaviour>,ok
@@ -45,15 +47,15 @@
     And the endpoints were sent 2 requests
 
     Examples:
-      | behaviour    |
-      | reset        |
-      | close        |
-      | truncate     |
-      | reset-body   |
-      | garbage      |
-      | unsigned     |
-      | not-executed |
-      | fail         |
+      | behaviour          |
+      | reset              |
+      | close              |
+      | truncate           |
+      | reset-body         |
+      | garbage            |
+      | unsigned           |
+      | not-executed       |
+      | fail               |
 
   Scenario: An error response of the last endpoint is passed on unchanged
     Given an entry VM with endpoints that behave as: fail,fail
@@ -76,6 +78,37 @@
     Then the caller gets a part of the events without the final chunk
     And the log says that request id-1 ended as stream_broken
 
+  Scenario: A response that ends with its connection is passed on completely
+    Given an entry VM with endpoints that behave as: close-delimited
+    When a caller sends POST /once/x with body "hello"
+    Then the caller gets 200 "ran 1" with the signature
+
+  Scenario Outline: Bytes without end that are no response are not awaited: <behaviour>
+    Given an entry VM with endpoints that behave as: <behaviour>
+    When a caller sends POST /once/x with body "hello"
+    Then the caller gets 502 without a signature
+    And the endpoint could send less than 16 MB
+
+    Examples:
+      | behaviour        |
+      | endless-line     |
+      | endless-head     |
+      | endless-trailer  |
+      | endless-blank    |
+      | endless-continue |
+      | endless-foreign  |
+
+  Scenario: Bytes without end after a response end with the connection
+    Given an entry VM with endpoints that behave as: endless-after
+    When a caller sends POST /once/x with body "hello"
+    Then the caller gets 200 "ran 1" with the signature
+    And the endpoint could send less than 16 MB
+
+  Scenario: A stream is read no faster than its caller reads
+    Given an entry VM with endpoints that behave as: endless-body
+    When a caller sends POST /stream/x and reads nothing until it is closed
+    Then the endpoint could send less than 32 MB
+
   Scenario: A response to HEAD has a length and no body
     Given an entry VM with endpoints that behave as: head
     When a caller sends HEAD /many/x twice on one connection
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -63,6 +63,15 @@
     writer.transport.abort()
 
 
+CLOSING = frozenset(
+    ('truncate', 'truncate-stream', 'close-delimited', 'large-close-delimited')
+)
+EVENT_STREAM = b'Content-Type: text/event-stream\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+TWO_EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+CUT_EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n'
+
+
 class ScriptedEndpoint:
     """Answer each request with the same scripted behaviour."""
 
@@ -73,6 +82,7 @@
         self.requests: list[bytes] = []
         self.closed = asyncio.Event()
         self.port = 0
+        self.endless_bytes = 0
 
     async def start(self) -> None:
         server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
@@ -113,19 +123,84 @@
         elif self.behaviour == 'slow':
             await asyncio.sleep(0.3)
             writer.write(self.ok_response(request_id))
+        elif self.behaviour.startswith('endless-'):
+            await self.write_endlessly(request_id, writer)
+        else:
+            await self.write_response(request_id, writer)
+
+    async def write_response(
+        self, request_id: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.behaviour.startswith('events-'):
+            writer.write(self.events_response(request_id))
+            closes = not self.behaviour.startswith('events-chunked')
         else:
             writer.write(self.response_bytes(request_id))
-            if self.behaviour in {'truncate', 'truncate-stream'}:
-                writer.close()
-            elif self.behaviour == 'reset-body':
-                await writer.drain()
-                await asyncio.sleep(0.05)
-                reset_connection(writer)
+            closes = self.behaviour in CLOSING
+        if closes:
+            writer.close()
+        elif self.behaviour == 'reset-body':
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset_connection(writer)
 
     def ok_response(self, request_id: bytes) -> bytes:
         body = b'ran %d' % len(self.requests)
         return build_response(200, body, request_id, self.signature)
 
+    async def write_endlessly(
+        self, request_id: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        head = self.head(request_id)
+        begin, repeated = {
+            'endless-line': (head + b'X-Endless: ', b'x' * 8192),
+            'endless-head': (head, b'X-Endless: x\r\n' * 512),
+            'endless-trailer': (
+                head + CHUNKED + b'\r\n0\r\n',
+                b'X-Endless: x\r\n' * 512,
+            ),
+            'endless-blank': (b'', b'\r\n' * 4096),
+            'endless-continue': (
+                b'',
+                b'HTTP/1.1 100 Continue\r\n\r\n' * 256,
+            ),
+            'endless-foreign': (
+                self.head(b'another-id') + CHUNKED + b'\r\n',
+                b'2000\r\n%s\r\n' % (b'x' * 8192),
+            ),
+            'endless-after': (self.ok_response(request_id), b'x' * 8192),
+            'endless-body': (head + CHUNKED + b'\r\n', TWO_EVENTS * 256),
+        }[self.behaviour]
+        if self.behaviour == 'endless-body':
+            repeated = b'%x\r\n%s\r\n' % (len(repeated), repeated)
+        writer.write(begin)
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+            self.endless_bytes += len(repeated)
+            # Lets the VM run on the same event loop.
+            await asyncio.sleep(0)
+
+    def head(self, request_id: bytes) -> bytes:
+        lines = (b'HTTP/1.1 200 OK', b'X-Request-Id: ' + request_id)
+        return b'\r\n'.join((*lines, self.signature, b''))
+
+    def events_response(self, request_id: bytes) -> bytes:
+        framing, _dash, end = self.behaviour.removeprefix('events-').partition(
+            '-'
+        )
+        body = CUT_EVENTS if end == 'cut' else TWO_EVENTS
+        head = self.head(request_id)
+        if framing == 'untyped':
+            return head + b'\r\n' + body
+        head += EVENT_STREAM
+        if framing == 'length':
+            return head + b'Content-Length: %d\r\n\r\n' % len(body) + body
+        if framing == 'chunked':
+            chunk = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+            return head + CHUNKED + b'\r\n' + chunk
+        return head + b'\r\n' + body
+
     def response_bytes(self, request_id: bytes) -> bytes:
         whole = self.ok_response(request_id)
         other = build_response(200, b'other', b'another-id', self.signature)
@@ -150,6 +225,22 @@
             'large': build_response(
                 200, b'x' * 600_000, request_id, self.signature
             ),
+            'medium': build_response(
+                200, b'x' * 200_000, request_id, self.signature
+            ),
+            'close-delimited': self.head(request_id) + b'\r\nran 1',
+            'large-close-delimited': self.head(request_id)
+            + b'\r\n'
+            + b'x' * 600_000,
+            'upgrade': self.head(request_id).replace(b'200 OK', b'101 Go')
+            + b'Connection: upgrade\r\nUpgrade: x\r\n\r\n',
+            'bad-refusal': build_response(
+                503,
+                b'',
+                request_id,
+                b'Baobabwharf-Outcome: not_run',
+                b'Baobabwharf-Retry-Ms: soon',
+            ),
             'truncate-stream': stream
             + self.signature
             + b'\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n',
@@ -441,6 +532,80 @@
     assert b'0\r\n\r\n' not in response, response
 
 
+@then('the caller gets both events and the end of the response')
+def both_events(context: Context) -> None:
+    head, _empty, body = context.proxy.responses[-1].partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200 '), head
+    complete = body.endswith(b'0\r\n\r\n') or b'Content-Length: 30' in head
+    assert TWO_EVENTS in body and complete, body
+
+
+@then('the caller gets the cut events and then its connection is reset')
+def cut_events(context: Context) -> None:
+    head, _empty, body = context.proxy.responses[-1].partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 200 '), head
+    assert b'Content-Length' not in head, head
+    assert CUT_EVENTS in body and body.endswith(b'RESET'), body
+    assert b'\r\n0\r\n\r\n' not in body, body
+
+
+@then('the log gives the reason {reason} for the broken stream')
+def broken_reason(context: Context, reason: str) -> None:
+    broken = [
+        line['reason']
+        for line in context.proxy.lines
+        if line['event'] == 'stream_broken'
+    ]
+    assert broken == [reason], context.proxy.lines
+
+
+@then('the endpoint could send less than {megabytes:d} MB')
+def sent_little(context: Context, megabytes: int) -> None:
+    endpoint = context.proxy.endpoints[0]
+    context.proxy.run(endpoint.closed.wait())
+    assert 0 < endpoint.endless_bytes < megabytes * 1_000_000, (
+        endpoint.endless_bytes
+    )
+
+
+@when('a caller sends {method} {target} and reads nothing until it is closed')
+def reads_nothing(context: Context, method: str, target: str) -> None:
+    proxy = context.proxy
+
+    async def send() -> None:
+        reader, writer = await proxy.connect()
+        reader._transport.pause_reading()
+        writer.write(proxy.request(method, target, 'x'))
+        await proxy.endpoints[0].closed.wait()
+        writer.close()
+
+    proxy.run(send())
+
+
+@when('a caller sends {count:d} requests on one connection and reads nothing')
+def pipelines_unread(context: Context, count: int) -> None:
+    proxy = context.proxy
+
+    async def send() -> None:
+        reader, writer = await proxy.connect()
+        reader._transport.pause_reading()
+        for _number in range(count):
+            writer.write(proxy.request('POST', '/once/x', 'x'))
+        before = -1
+        while before < len(proxy.endpoints[0].requests):
+            before = len(proxy.endpoints[0].requests)
+            await asyncio.sleep(0.3)
+        writer.close()
+
+    proxy.run(send())
+
+
+@then('the endpoint got less than {count:d} requests')
+def got_few(context: Context, count: int) -> None:
+    requests = len(context.proxy.endpoints[0].requests)
+    assert 0 < requests < count, requests
+
+
 @then('the log says that request {request_id} ended as {outcome}')
 def logged_end(context: Context, request_id: str, outcome: str) -> None:
     ended = [
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
@@ -83,6 +83,9 @@
         if lost is not None:
             self._lost = self._lost or lost
             self._transport.abort()
+        elif self._response.complete and not self._response.reusable:
+            # Nothing that may still arrive is of use.
+            self._transport.abort()
         elif self._response.buffered > _HIGH_WATER_BYTES:
             self._transport.pause_reading()
         self._wake()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -16,6 +16,16 @@
 _NO_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _MAX_SKIPPED = 3
+# Longest header line, which includes a chunk header.
+_MAX_LINE_BYTES = 16_384
+# Heads and trailers until the response is complete, with interim and skipped
+# responses.
+_MAX_HEAD_BYTES = 65_536
+# Bodies of skipped responses.
+_MAX_SKIPPED_BYTES = 1_048_576
+# A status line without its reason, and the line break at the end of a head.
+_MESSAGE_BYTES = len(b'HTTP/1.1 200 \r\n\r\n')
+_SEPARATORS_BYTES = len(b': \r\n')
 _MS_PER_S = 1000
 
 ResponseMatcher = Callable[[ResponseHead], bool]
@@ -28,6 +38,30 @@
     RESET = 'connection_reset'
     MALFORMED = 'malformed_reply'
     FOREIGN = 'foreign_reply'
+    OVERSIZED = 'oversized_head'
+
+
+class _Sizes:
+    """Count the bytes received for one request, except its body."""
+
+    def __init__(self) -> None:
+        # Bytes since the parser last reported anything.
+        self.open_line = 0
+        self.longest_line = 0
+        self.heads = 0
+        self.skipped = 0
+
+    @property
+    def head_exceeded(self) -> bool:
+        """Return whether a line or the heads are too long."""
+        longest = max(self.open_line, self.longest_line)
+        return longest > _MAX_LINE_BYTES or self.heads > _MAX_HEAD_BYTES
+
+    def add_line(self, size: int) -> None:
+        """Count a complete line of a head or trailer."""
+        self.open_line = 0
+        self.longest_line = max(self.longest_line, size)
+        self.heads += size
 
 
 @final
@@ -41,6 +75,9 @@
         self._headers: list[Header] = []
         self._skipping = False
         self._skipped = 0
+        self._sizes = _Sizes()
+        # The first reason, which later bytes of the same block do not change.
+        self._lost: ResponseLoss | None = None
         self._close_delimited = False
         self._bodiless = False
         self.head: ResponseHead | None = None
@@ -64,19 +101,26 @@
         self.buffered = 0
         self.complete = False
         self._close_delimited = False
+        self._sizes = _Sizes()
+        self._lost = None
 
     def feed(self, data: bytes) -> ResponseLoss | None:
         """Parse received bytes; return the reason if the response is lost."""
+        if self.complete:
+            # Bytes after a complete response belong to no request.
+            self.reusable = False
+            return None
+        self._sizes.open_line += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # Invalid bytes after a complete response do not affect it.
-            self.reusable = False
-            return None if self.complete else ResponseLoss.MALFORMED
-        if self._skipped > _MAX_SKIPPED:
-            self.reusable = False
-            return ResponseLoss.FOREIGN
-        return None
+            self._lost = self._lost or ResponseLoss.MALFORMED
+        if self.complete:
+            self.reusable = self.reusable and self._lost is None
+            return None
+        self._check_bounds()
+        return self._lost
 
     def pop_block(self) -> bytes:
         """Remove and return the next block of the body."""
@@ -91,6 +135,7 @@
         self._reason = b''
         self._headers = []
         self._skipping = self.complete
+        self._sizes.add_line(_MESSAGE_BYTES)
 
     def on_status(self, reason: bytes) -> None:
         """Append to the reason phrase."""
@@ -99,12 +144,19 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
         self._headers.append((name, value))
+        self._sizes.add_line(len(name) + len(value) + _SEPARATORS_BYTES)
+        self._check_bounds()
 
     def on_headers_complete(self) -> None:
         """Accept the response if it belongs to the current request."""
+        self._sizes.add_line(len(self._reason))
+        self._check_bounds()
         status = self._parser.get_status_code()
         if self._skipping or status < _FIRST_FINAL_STATUS:
             return
+        if self._lost is not None:
+            self._skipping = True
+            return
         headers = tuple(self._headers)
         length, chunked = _framing(headers)
         close_delimited = (
@@ -116,6 +168,7 @@
             # A close-delimited response has no end after which the expected one
             # could begin.
             self._skipped += _MAX_SKIPPED + 1 if close_delimited else 1
+            self._check_bounds()
             return
         self.head = head
         self._close_delimited = close_delimited
@@ -129,14 +182,29 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffer a block of the body."""
-        if self.head is not None and not self._skipping:
+        self._sizes.open_line = 0
+        if self.head is None or self._skipping:
+            self._sizes.skipped += len(body)
+            self._check_bounds()
+        else:
             self.blocks.append(body)
             self.buffered += len(body)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
-        if self.head is not None and not self._skipping:
-            self.complete = True
+        # Trailers may have exceeded a bound.
+        if self.head is None or self._skipping or self._lost is not None:
+            return
+        self.complete = True
+
+    def _check_bounds(self) -> None:
+        if self.complete or self._lost is not None:
+            return
+        skipped = self._skipped > _MAX_SKIPPED
+        if self._sizes.head_exceeded:
+            self._lost = ResponseLoss.OVERSIZED
+        elif skipped or self._sizes.skipped > _MAX_SKIPPED_BYTES:
+            self._lost = ResponseLoss.FOREIGN
 
 
 def _framing(headers: tuple[Header, ...]) -> tuple[int | None, bool]:
