Drop bytes that follow the response to a HEAD request

Cause: a response to HEAD is complete with its head, but what its endpoint sent as a body in the same block was buffered and written to the caller, where it stood before the next response.

Evidence: "Bytes after the head of a response to HEAD are no body" got b'hello' as the body on the old code, none now; response_reader.feature passes.

--- a/features/unit/response_reader.feature
+++ b/features/unit/response_reader.feature
@@ -33,3 +33,7 @@
   Scenario: A long body is buffered only as far as it is read
     When the response reader gets a body of 20 MB of which each block is read
     Then less than 4000000 bytes of memory were in use
+
+  Scenario: Bytes after the head of a response to HEAD are no body
+    When the response to a HEAD request is followed by bytes
+    Then the response has no body and its connection is not used again
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -186,7 +186,7 @@
         if self.head is None or self._skipping:
             self._sizes.skipped += len(body)
             self._check_bounds()
-        else:
+        elif not self._bodiless:
             self.blocks.append(body)
             self.buffered += len(body)
 
