Read numbers in headers without raising

Cause: int() raises ValueError for anything that is no number, and for more than 4300 digits even if isdigit() holds. A refusal with Baobabwharf-Retry-Ms: soon ended the task of its request, and the caller never got an answer; an idle time-out of 5000 digits lost a complete response as malformed.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -56,6 +56,7 @@
       | unsigned           |
       | not-executed       |
       | fail               |
+      | bad-refusal        |
 
   Scenario: An error response of the last endpoint is passed on unchanged
     Given an entry VM with endpoints that behave as: fail,fail
--- a/features/unit/response_reader.feature
+++ b/features/unit/response_reader.feature
@@ -37,3 +37,6 @@
   Scenario: Bytes after the head of a response to HEAD are no body
     When the response to a HEAD request is followed by bytes
     Then the response has no body and its connection is not used again
+
+  Scenario: Numbers of any length in headers do not lose a response
+    Then a response with an idle time-out of 5000 digits is read
--- a/packages/daemon/src/baobabwharf_daemon/proxy/http_messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/http_messages.py
@@ -23,6 +23,17 @@
 )
 
 
+# Longer numbers are no sizes or times; int() refuses some of them.
+_MAX_DIGITS = 15
+
+
+def parse_number(value: bytes | None) -> int | None:
+    """Return a number from a header, None if it is missing or invalid."""
+    if value is None or not value.isdigit() or len(value) > _MAX_DIGITS:
+        return None
+    return int(value)
+
+
 def _find_header(headers: Headers, name: bytes) -> bytes | None:
     for found, value in headers:
         if found.lower() == name:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -24,6 +24,7 @@
     Header,
     ResponseHead,
     end_to_end_headers,
+    parse_number,
 )
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
 from baobabwharf_daemon.proxy.request_plan import RequestPlan
@@ -219,7 +220,7 @@
             )
         if opened.kind is ResponseKind.REGION_REFUSED:
             value = opened.head.header(RETRY_HEADER.lower())
-            self._retry_after_ms = int(value) if value else None
+            self._retry_after_ms = parse_number(value)
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
         if isinstance(body, ResponseBody) and body.complete:
             attempt.mark_complete()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -11,7 +11,11 @@
 
 import httptools
 
-from baobabwharf_daemon.proxy.http_messages import Header, ResponseHead
+from baobabwharf_daemon.proxy.http_messages import (
+    Header,
+    ResponseHead,
+    parse_number,
+)
 
 _NO_BODY = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
@@ -212,8 +216,8 @@
     chunked = False
     for name, value in headers:
         lower = name.lower()
-        if lower == b'content-length' and value.isdigit():
-            length = int(value)
+        if lower == b'content-length':
+            length = parse_number(value)
         elif lower == b'transfer-encoding':
             chunked = b'chunked' in value.lower()
     return (None if chunked else length), chunked
@@ -223,6 +227,7 @@
     announced = head.header(b'keep-alive') or b''
     for part in announced.split(b','):
         name, _equals, value = part.strip().partition(b'=')
-        if name.lower() == b'timeout' and value.isdigit():
-            return int(value) * _MS_PER_S
+        seconds = parse_number(value)
+        if name.lower() == b'timeout' and seconds is not None:
+            return seconds * _MS_PER_S
     return None
