Treat a stream that ends inside an event as broken off

Cause: the end of the framing was the end of the response, so a stream that its endpoint broke off inside an event looked complete if its last chunk, its length or the close of its connection followed.

Change: the reader remembers the last bytes of successful event streams, and of close-delimited responses on streaming routes. Unless they end with an empty line, the response is lost (ended_inside_event): retried or refused while it is buffered, without the final chunk and with stream_broken in the log once it was begun. Streams go to the caller in chunks, since a stated length would be fulfilled before the loss is known.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -28,6 +28,9 @@
       | bare-503           | 502    | 1    |
       | no-response        | 504    | 1    |
       | upgrade            | 502    | 1    |
+      | events-chunked-cut | 502    | 1    |
+      | events-length-cut  | 502    | 1    |
+      | events-close-cut   | 502    | 1    |
 
   Scenario Outline: A request that did not run is retried at the second endpoint: <behaviour>
     Given an entry VM with endpoints that behave as: <behaviour>,ok
@@ -56,6 +59,9 @@
       | unsigned           |
       | not-executed       |
       | fail               |
+      | events-chunked-cut |
+      | events-length-cut  |
+      | events-close-cut   |
       | bad-refusal        |
 
   Scenario: An error response of the last endpoint is passed on unchanged
@@ -79,6 +85,32 @@
     Then the caller gets a part of the events without the final chunk
     And the log says that request id-1 ended as stream_broken
 
+  Scenario Outline: A stream that ends inside an event does not look complete: <framing>
+    Given an entry VM with endpoints that behave as: events-<framing>-cut
+    When a caller sends POST /stream/x with body "hello"
+    Then the caller gets the cut events and then its connection ends without the final chunk
+    And the log says that request id-1 ended as stream_broken
+    And the log gives the reason ended_inside_event for the broken stream
+
+    Examples:
+      | framing |
+      | chunked |
+      | length  |
+      | close   |
+      | untyped |
+
+  Scenario Outline: A stream that ends after an event is complete: <framing>
+    Given an entry VM with endpoints that behave as: events-<framing>
+    When a caller sends POST /stream/x with body "hello"
+    Then the caller gets both events and the end of the response
+
+    Examples:
+      | framing |
+      | chunked |
+      | length  |
+      | close   |
+      | untyped |
+
   Scenario: A response that ends with its connection is passed on completely
     Given an entry VM with endpoints that behave as: close-delimited
     When a caller sends POST /once/x with body "hello"
--- /dev/null
+++ b/packages/daemon/src/baobabwharf_daemon/event_boundary.py
@@ -0,0 +1,27 @@
+"""Recognize whether a stream of server-sent events ends between two events."""
+
+from typing import final
+
+EVENT_STREAM = 'text/event-stream'
+
+# An empty line and the end of the line before it, at their longest.
+_TAIL_BYTES = len(b'\r\n\r\n')
+_EMPTY = frozenset((b'', b'\n'))
+
+
+@final
+class EventBoundary:
+    """Remember the end of the bytes of an event stream."""
+
+    def __init__(self) -> None:
+        self._tail = b''
+
+    @property
+    def inside_event(self) -> bool:
+        """Return whether the bytes end before the empty line of an event."""
+        lines = self._tail.replace(b'\r\n', b'\n').replace(b'\r', b'\n')
+        return lines not in _EMPTY and not lines.endswith(b'\n\n')
+
+    def feed(self, block: bytes) -> None:
+        """Add the next bytes of the stream."""
+        self._tail = (self._tail + block[-_TAIL_BYTES:])[-_TAIL_BYTES:]
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -104,6 +104,7 @@
             payload,
             lambda head: self._matches(head, request_id),
             bodiless=request.method == HEAD,
+            streaming=plan.metadata.streaming,
         )
         head = await connection.read_head()
         if isinstance(head, ResponseLoss):
