Join the data lines of an event as the specification says

Cause: the lines were joined with their field names, so that an event of two data lines was no JSON and broke its stream.

--- a/features/steps/gateway_parser.py
+++ b/features/steps/gateway_parser.py
@@ -203,6 +203,27 @@
     examples()
 
 
+@then('the event stream of the gateway joins the data lines of an event')
+def joined_lines(context):
+    @seed(31)
+    @settings(max_examples=200, deadline=None, database=None)
+    @given_each(
+        st.sampled_from(['data: ', 'data:', 'id: 7\ndata: ']),
+        st.lists(st.integers(0, 2000), max_size=4),
+    )
+    def examples(prefix, split_points):
+        first = '{"id":"chatcmpl-r1",'
+        second = '"choices":[{"delta":{"content":"a"}}]}'
+        content = f'{prefix}{first}\ndata: {second}\n\n'.encode()
+        stream = EventStreamParser('r1')
+        passed_on = feed(stream, content + b'data: [DONE]\n\n', split_points)
+        assert stream.done and not stream.broken
+        assert stream.tokens == 1, stream.tokens
+        assert passed_on == content + b'data: [DONE]\n\n'
+
+    examples()
+
+
 @then('the scrubber of the gateway redacts a key however it is escaped')
 def scrubbed(context):
     @seed(17)
--- a/features/unit/gateway_parser.feature
+++ b/features/unit/gateway_parser.feature
@@ -17,5 +17,8 @@
   Scenario: An event of another response is detected after valid ones
     Then the event stream of the gateway stops before an event of another response
 
+  Scenario: The data lines of an event are one payload
+    Then the event stream of the gateway joins the data lines of an event
+
   Scenario: Keys are redacted however they are escaped
     Then the scrubber of the gateway redacts a key however it is escaped
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/event_stream_parser.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/event_stream_parser.py
@@ -159,7 +159,7 @@
         self.failed = len(buffered) > MAX_EVENT_BYTES
 
     def _check_event(self, event: bytes) -> bool:
-        if not event.startswith(_DATA_FIELD):
+        if b'\n' in event or not event.startswith(_DATA_FIELD):
             return self._check_multiline_event(event)
         payload = event[len(_DATA_FIELD) :].strip()
         if payload == _DONE_PAYLOAD:
@@ -168,10 +168,18 @@
         return self._check_payload(payload)
 
     def _check_multiline_event(self, event: bytes) -> bool:
-        lines = [line for line in event.splitlines() if line[:5] == _DATA_FIELD]
-        if lines:
-            return self._check_event(b'\n'.join(lines))
-        return True
+        lines = [
+            line[len(_DATA_FIELD) :].removeprefix(b' ')
+            for line in event.split(b'\n')
+            if line.startswith(_DATA_FIELD)
+        ]
+        if not lines:
+            return True
+        payload = b'\n'.join(lines).strip()
+        if payload == _DONE_PAYLOAD:
+            self.done = True
+            return True
+        return self._check_payload(payload)
 
     def _check_payload(self, payload: bytes) -> bool:
         try:
