Hold back pipelined requests of a caller that reads no response

Cause: a buffered response is written without waiting for the caller, and the next request of the connection ran at once, so that the write buffer grew with each request.

Change: the next request starts once the write buffer has room.

The rest of the feature was not run again after this change.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -142,6 +142,11 @@
     When a caller sends POST /stream/x and reads nothing until it is closed
     Then the endpoint could send less than 32 MB
 
+  Scenario: Pipelined requests wait while their caller reads no response
+    Given an entry VM with endpoints that behave as: medium
+    When a caller sends 200 requests on one connection and reads nothing
+    Then the endpoint got less than 100 requests
+
   Scenario: A response to HEAD has a length and no body
     Given an entry VM with endpoints that behave as: head
     When a caller sends HEAD /many/x twice on one connection
--- a/packages/daemon/src/baobabwharf_daemon/proxy/caller_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/caller_connection.py
@@ -156,6 +156,8 @@
 
     async def _run(self, call: HttpCall) -> None:
         try:
+            # A caller that reads no responses gets no further ones.
+            await self.drain()
             await self._handler(call)
         finally:
             self._running = None
