Take a stream without an event that ends with its connection as broken

An answer without length or chunks ends with its connection. An engine that crashed before its first event then looked like a complete, empty stream: to the caller, to the books and, worse, to the evidence, where a complete answer proves that its parts are harmless. A close-delimited stream of events without any event is lost now, and so is one that ends inside an event; both count as suspected crashes. An answer proves its parts once the first event is whole, in any line ending.

The test of the deadly part has the three ways in which the answer may break (with a length, close-delimited and empty, inside the first event).

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -187,9 +187,15 @@
     And without endpoints a forwarded request is refused as not run
     And the log says that forwarded request id-1 was refused as no_endpoint
 
-  Scenario: A part that crashed endpoints reaches no more of them
-    Given an entry VM with endpoints that behave as: deadly,deadly,deadly,deadly,deadly,deadly,deadly,deadly
+  Scenario Outline: A part that crashed endpoints reaches no more of them: <deadly>
+    Given an entry VM with endpoints that behave as: <deadly>,<deadly>,<deadly>,<deadly>,<deadly>,<deadly>,<deadly>,<deadly>
     When callers send 8 prompts with the deadly part, each after a sound one with its other parts
     Then at most five endpoints crash
     And the last 3 prompts with the deadly part are refused at once as not run
     And each sound prompt is answered
+
+    Examples:
+      | deadly           |
+      | deadly           |
+      | deadly-unframed  |
+      | deadly-mid-event |
--- a/features/steps/deadly_prompts.py
+++ b/features/steps/deadly_prompts.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import msgspec
 from behave import then, when
 from behave.runner import Context
 
@@ -23,6 +24,20 @@
         return cut.partial
 
 
+def _restart_crashed(proxy) -> None:
+    """Register each endpoint under the number of crashes that it had."""
+    for number, endpoint in enumerate(proxy.endpoints):
+        record = proxy.endpoint_table.entries[f'i-{number}'].record
+        crashes = sum(
+            _DEADLY_PART.encode() in request for request in endpoint.requests
+        )
+        if record.incarnation != crashes + 1:
+            restarted = msgspec.structs.replace(
+                record, incarnation=crashes + 1, sequence=1
+            )
+            proxy.endpoint_table.update(restarted, 0)
+
+
 @when(
     'callers send {count:d} prompts with the deadly part, each after a sound one with its other parts'
 )
@@ -34,6 +49,7 @@
         began_s = time.monotonic()
         deadly = _send(proxy, number, f'all:500,session:900,{_DEADLY_PART}:100')
         context.deadly.append((deadly, time.monotonic() - began_s))
+        _restart_crashed(proxy)
         proxy.run(asyncio.sleep(_GAP_S))
 
 
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -117,12 +117,11 @@
         body = await reader.readexactly(int(fields.get(b'content-length', 0)))
         self.requests.append(head + body)
         request_id = fields[b'x-request-id']
-        if self.behaviour == 'deadly':
+        if self.behaviour.startswith('deadly'):
             if DEADLY_PART.encode() not in fields.get(b'x-prompt-prefix', b''):
                 writer.write(self.stream_response(request_id))
                 return
-            # It crashes when it begins to write the first event.
-            writer.write(self.stream_response(request_id).partition(b'id')[0])
+            writer.write(self.crash_response(request_id))
             writer.close()
         elif self.behaviour == 'reset':
             reset_connection(writer)
@@ -158,6 +157,13 @@
         body = b'ran %d' % len(self.requests)
         return build_response(200, body, request_id, self.signature)
 
+    def crash_response(self, request_id: bytes) -> bytes:
+        """Return what is sent until the first event crashes the endpoint."""
+        if self.behaviour == 'deadly':
+            return self.stream_response(request_id).partition(b'id: 1')[0]
+        head = self.head(request_id) + EVENT_STREAM + b'\r\n'
+        return head + (b'id: 1' if 'mid-event' in self.behaviour else b'')
+
     def stream_response(self, request_id: bytes) -> bytes:
         events = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
         return build_response(200, events, request_id, self.signature)
--- a/packages/daemon/src/baobabwharf_daemon/event_boundary.py
+++ b/packages/daemon/src/baobabwharf_daemon/event_boundary.py
@@ -16,6 +16,11 @@
     def __init__(self) -> None:
         self._tail = b''
 
+    @property
+    def empty(self) -> bool:
+        """Return whether there were no bytes yet."""
+        return not self._tail
+
     @property
     def inside_event(self) -> bool:
         """Return whether the bytes end before the empty line of an event."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -45,7 +45,9 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-_CRASH_LOSSES = frozenset((ResponseLoss.CLOSED, ResponseLoss.RESET))
+_CRASH_LOSSES = frozenset(
+    (ResponseLoss.CLOSED, ResponseLoss.RESET, ResponseLoss.INSIDE_EVENT)
+)
 
 
 class ResponseKind(enum.Enum):
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
@@ -116,6 +116,9 @@
     async def read_block(self) -> bytes | ResponseLoss:
         """Wait for the next block of the body; empty at its end."""
         while not self._response.blocks:
+            if self._response.complete and self._response.without_events:
+                # This is also how an endpoint looks that crashed.
+                return ResponseLoss.CLOSED
             if self._response.complete and self._response.inside_event:
                 return ResponseLoss.INSIDE_EVENT
             if self._response.complete:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -10,6 +10,7 @@
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
 from expression import Error
 
+from baobabwharf_daemon.event_boundary import EventBoundary
 from baobabwharf_daemon.metrics import ATTEMPTS
 from baobabwharf_daemon.proxy.attempt import (
     HEAD,
@@ -41,8 +42,6 @@
 # retried or refused; larger ones are streamed to the caller.
 _MAX_BUFFERED_BYTES = 262_144
 _SERVER_ERROR = 500
-# An endpoint that crashes on a prompt may still send a part of an event.
-_EVENT_END = b'\n\n'
 _INTERNAL_PREFIX = b'baobabwharf-'
 
 _UNSENT_ENDS = frozenset((AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED))
@@ -349,6 +348,8 @@
         )
         self._call.write(first)
         received_bytes = len(first)
+        events = EventBoundary()
+        events.feed(first)
         while True:
             block = await opened.connection.read_block()
             attempt.mark_prefilled()
@@ -368,7 +369,10 @@
             if not block:
                 break
             received_bytes += len(block)
-            if _EVENT_END in block:
+            events.feed(block)
+            if not events.inside_event:
+                # An endpoint that crashes on a prompt may send a part of the
+                # first event.
                 self._note_answer(attempt)
             self._call.write(block)
             await self._call.drain()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -103,6 +103,15 @@
         """Return whether the end of the connection ends the response."""
         return self.head is not None and self._close_delimited
 
+    @property
+    def without_events(self) -> bool:
+        """Return whether a close-delimited stream of events has none."""
+        return (
+            self._close_delimited
+            and self._events is not None
+            and self._events.empty
+        )
+
     @property
     def inside_event(self) -> bool:
         """Return whether the body is a stream that ends inside an event."""
