--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -22,7 +22,7 @@
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.metrics import REVISION
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
-from baobabwharf_daemon.proxy.crash_watch import CrashWatch
+from baobabwharf_daemon.proxy.crash_watch import CrashExchange, CrashWatch
 from baobabwharf_daemon.proxy.dialect import Dialect
 from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
@@ -95,10 +95,12 @@
             self._selector.loads,
             self._limits,
             self._consensus.follower,
-            crashes.blame,
             log,
         )
-        self._exchange_tasks = peer_exchange.tasks
+        self._exchange_tasks = (
+            *peer_exchange.tasks,
+            *self._crash_exchange(crashes),
+        )
         self._ingress = Ingress(
             self._context, peer_exchange.limits, lambda: self._route_table
         )
@@ -206,6 +208,20 @@
             await self._metrics.stop()
         self._log.record('vm_stopped')
 
+    def _crash_exchange(self, crashes: CrashWatch) -> tuple[Task, ...]:
+        port = self._settings.listen.crash_port
+        if port is None:
+            return ()
+        return (
+            CrashExchange(
+                self._record,
+                port,
+                self._clock,
+                self._limits.membership,
+                crashes.blame,
+            ),
+        )
+
     async def _serve_metrics(self) -> None:
         listen = self._settings.listen
         if listen.metrics_port is not None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -132,6 +132,13 @@
             self._load.mark_prefilled(self._pending_tokens)
         self._pending_tokens = 0
 
+    @property
+    def took_ms(self) -> int:
+        """Return the time since the request was sent, 0 if it was not."""
+        if self.sent_ms is None:
+            return 0
+        return self._clock.now_ms() - self.sent_ms
+
     @property
     def crash_suspected(self) -> bool:
         """Return whether the endpoint was lost before its answer went on."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
@@ -13,7 +13,6 @@
     VerdictAction,
 )
 from baobabwharf_decisions.proxying.crash_report import CrashReport
-from baobabwharf_decisions.proxying.endpoint_table import EndpointRecord
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
 from expression import Error, Ok, Result
 from msgspec import Struct
@@ -21,7 +20,9 @@
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.metrics import CRASH_EVIDENCE
+from baobabwharf_daemon.proxy.attempt import Attempt
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
+from baobabwharf_daemon.proxy.request_plan import ForwardMetadata
 
 # Crashes may follow each other within the delay between regions.
 _PERIOD_S = 0.05
@@ -79,28 +80,33 @@
         if verdict.action is VerdictAction.PROBE and verdict.part_id:
             self.blame.note_probe_unsent(verdict.part_id, self._clock.now_ms())
 
-    def note_answer(self, prompt: Prompt) -> None:
+    def note_answer(self, attempt: Attempt, prompt: Prompt) -> None:
         """Record that an endpoint went on after it had begun an answer."""
+        if attempt.answer_went_on or attempt.destination.record is None:
+            return
+        attempt.answer_went_on = True
         self.blame.note_answer(prompt, self._clock.now_ms())
 
-    def note_loss(
-        self, record: EndpointRecord, prompt: Prompt, request_id: str
-    ) -> None:
-        """Record a connection that was lost before the answer went on."""
-        if len(prompt) < 2:
+    def note_end(self, attempt: Attempt, metadata: ForwardMetadata) -> None:
+        """Record an endpoint that was lost before its answer went on."""
+        record = attempt.destination.record
+        if record is None or not attempt.crash_suspected:
+            return
+        if len(metadata.prompt) < 2:
+            # Without shared parts there is nothing to blame.
             return
         CRASH_EVIDENCE.inc({'source': 'own'})
         self._log.record(
             'crash_suspected',
-            request=request_id,
+            request=metadata.request_id,
             endpoint=record.endpoint_id,
             incarnation=record.incarnation,
-            parts=[part.part_id for part in prompt[:-1]],
+            parts=metadata.part_ids[:-1],
         )
         self.blame.note_crash(
             record.endpoint_id,
             record.incarnation,
-            (prompt,),
+            (metadata.prompt,),
             self._clock.now_ms(),
         )
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_selector.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_selector.py
@@ -15,7 +15,10 @@
     forwarding_vms_of,
 )
 from baobabwharf_decisions.proxying.cold_rate_limit import ColdRateLimit
-from baobabwharf_decisions.proxying.endpoint_load import Candidate
+from baobabwharf_decisions.proxying.endpoint_load import (
+    Candidate,
+    EndpointLoad,
+)
 from baobabwharf_decisions.proxying.endpoint_table import (
     EndpointEntry,
     EndpointRecord,
@@ -243,6 +246,10 @@
                 return Ok(remote)
         return Error(_refusal(plan, candidates, self._clock.now_ms()))
 
+    def load_of(self, target: AttemptTarget) -> EndpointLoad | None:
+        """Return the load of an endpoint, None for a VM."""
+        return None if target.record is None else self.loads.load(target.record)
+
     def note_sent(self, record: EndpointRecord) -> None:
         """Count a request against the rate limit of a cold endpoint."""
         now_ms = self._clock.now_ms()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/peer_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/peer_exchange.py
@@ -3,12 +3,10 @@
 import msgspec
 from baobabwharf_core.clock import Clock
 from baobabwharf_core.fleet_config import VmRecord
-from baobabwharf_decisions.proxying.crash_blame import CrashBlame
 
 from baobabwharf_daemon.decision_log import DecisionLog
 from baobabwharf_daemon.interfaces import ConfigSource, LimitClient
 from baobabwharf_daemon.limits_components import LimitsComponents
-from baobabwharf_daemon.proxy.crash_watch import CrashExchange
 from baobabwharf_daemon.proxy.load_exchange import LoadExchange
 from baobabwharf_daemon.proxy.load_tracker import LoadTracker
 from baobabwharf_daemon.proxy.metering import Metering
@@ -32,7 +30,6 @@
     loads: LoadTracker,
     limits: LimitsComponents,
     config_source: ConfigSource,
-    blame: CrashBlame,
     log: DecisionLog,
 ) -> PeerExchange:
     """Build the exchange tasks and the client for customer limits.
@@ -45,21 +42,17 @@
         ports.load_port is None
         or ports.meter_port is None
         or ports.relay_port is None
-        or ports.crash_port is None
     ):
         return PeerExchange(limits.lending, (limits.lending,))
     mode = RelayMode(config_source)
     exchange = LoadExchange(
         own, ports.load_port, loads, limits.membership, mode, clock.wall_ms()
     )
-    crashes = CrashExchange(
-        own, ports.crash_port, clock, limits.membership, blame
-    )
     if own.has_disk:
         relay = RelayExchange(
             own, ports.relay_port, clock, limits.membership, mode, None
         )
-        return PeerExchange(limits.lending, (exchange, relay, crashes))
+        return PeerExchange(limits.lending, (exchange, relay))
     metering = Metering(
         own, ports.meter_port, clock, limits.membership, config_source, mode
     )
@@ -67,4 +60,4 @@
     relay = RelayExchange(
         own, ports.relay_port, clock, limits.membership, mode, relay_client
     )
-    return PeerExchange(metering, (metering, exchange, relay, crashes))
+    return PeerExchange(metering, (metering, exchange, relay))
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -128,7 +128,7 @@
         return granted
 
     async def _attempt(self, destination: AttemptTarget) -> AttemptEnd | None:
-        load = self._load_of(destination)
+        load = self._context.selector.load_of(destination)
         self._log_destination(destination, load)
         if destination.record is not None:
             self._context.selector.note_sent(destination.record)
@@ -150,25 +150,12 @@
             else:
                 ended = opened
         finally:
-            self._note_crash(destination, attempt)
+            self._context.crashes.note_end(attempt, self._plan.metadata)
             attempt.close()
         self._plan.attempts.may_have_run = may_have_run
         self._record_outcome(destination, load, ended, attempt)
         return ended
 
-    def _note_crash(self, destination: AttemptTarget, attempt: Attempt) -> None:
-        if destination.record is not None and attempt.crash_suspected:
-            metadata = self._plan.metadata
-            self._context.crashes.note_loss(
-                destination.record, metadata.prompt, metadata.request_id
-            )
-
-    def _note_answer(self, attempt: Attempt) -> None:
-        if attempt.answer_went_on or attempt.destination.record is None:
-            return
-        attempt.answer_went_on = True
-        self._context.crashes.note_answer(self._plan.metadata.prompt)
-
     def _log_destination(
         self, destination: AttemptTarget, load: EndpointLoad | None
     ) -> None:
@@ -187,11 +174,6 @@
             left_ms=self._plan.deadline_ms - now_ms,
         )
 
-    def _load_of(self, destination: AttemptTarget) -> EndpointLoad | None:
-        if destination.record is None:
-            return None
-        return self._context.selector.loads.load(destination.record)
-
     def _record_outcome(
         self,
         destination: AttemptTarget,
@@ -216,8 +198,8 @@
                 address=destination.address,
                 region=destination.region,
                 reused=attempt.reused,
-                took_ms=self._took_ms(attempt),
-                parts=self._part_ids(),
+                took_ms=attempt.took_ms,
+                parts=self._plan.metadata.part_ids,
             )
         if ended in _UNSENT_ENDS and destination.record is not None:
             self._context.crashes.note_unsent(self._verdict)
@@ -247,7 +229,7 @@
         self, attempt: Attempt, opened: OpenedResponse
     ) -> AttemptEnd | None:
         self._plan.headers_received_ms = self._context.clock.now_ms()
-        load = self._load_of(attempt.destination)
+        load = self._context.selector.load_of(attempt.destination)
         if load is not None and opened.metadata.load is not None:
             load.note_sample(opened.metadata.load, self._context.clock.now_ms())
         if opened.kind is ResponseKind.RESULT:
@@ -282,7 +264,7 @@
         if isinstance(body, ResponseLoss):
             attempt.loss = body
             return AttemptEnd.LOST
-        self._note_answer(attempt)
+        self._context.crashes.note_answer(attempt, self._plan.metadata.prompt)
         await self._send_response(attempt, opened, body)
         return None
 
@@ -360,8 +342,8 @@
                     reason=block.value,
                     address=attempt.destination.address,
                     received_bytes=received_bytes,
-                    took_ms=self._took_ms(attempt),
-                    parts=self._part_ids(),
+                    took_ms=attempt.took_ms,
+                    parts=self._plan.metadata.part_ids,
                 )
                 self._plan.abort_reason = 'stream_broken'
                 self._call.abort()
@@ -373,20 +355,15 @@
             if not events.inside_event:
                 # An endpoint that crashes on a prompt may send a part of the
                 # first event.
-                self._note_answer(attempt)
+                self._context.crashes.note_answer(
+                    attempt, self._plan.metadata.prompt
+                )
             self._call.write(block)
             await self._call.drain()
-        self._note_answer(attempt)
+        self._context.crashes.note_answer(attempt, self._plan.metadata.prompt)
         attempt.mark_complete()
         self._call.finish()
 
-    def _took_ms(self, attempt: Attempt) -> int:
-        now_ms = self._context.clock.now_ms()
-        return now_ms - (attempt.sent_ms or now_ms)
-
-    def _part_ids(self) -> list[str]:
-        return [part.part_id for part in self._plan.metadata.prompt]
-
     def _log(self, event: str, **fields: object) -> None:
         self._context.log.record(
             event, request=self._plan.metadata.request_id, **fields
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
@@ -28,6 +28,11 @@
     prompt: Prompt = ()
     resume_after: int | None = None
 
+    @property
+    def part_ids(self) -> list[str]:
+        """Return the ids of the parts of the prompt."""
+        return [part.part_id for part in self.prompt]
+
 
 class RequestPlan(msgspec.Struct):
     """Hold the parameters and state of a request; times are local ms."""
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence, Sized
 from typing import final
 
 import msgspec
@@ -42,6 +42,15 @@
     return [part.part_id for part in prompt[:-1]]
 
 
+def _by_crashes(
+    part_ids: Iterable[str], keys_by_part: Mapping[str, Sized]
+) -> list[str]:
+    """Sort parts by the number of their crashes, most first."""
+    return sorted(
+        part_ids, key=lambda part_id: len(keys_by_part[part_id]), reverse=True
+    )
+
+
 class _Crash(msgspec.Struct):
     at_ms: int
     own_parts: dict[str, None]
@@ -60,11 +69,6 @@
         # Proofs by any VM, only of suspects.
         self._proof_ms: dict[str, int] = {}
 
-    @property
-    def is_empty(self) -> bool:
-        """Return whether no crash is held."""
-        return not self._crashes
-
     def add_own(
         self,
         key: CrashKey,
@@ -172,7 +176,13 @@
         reported: list[ReportedCrash] = []
         parts_left = _REPORTED_PARTS
         for key, crash in reversed(self._crashes.items()):
-            part_ids = self._unproved_parts(crash)[:parts_left]
+            unproved = [
+                part_id
+                for part_id in crash.own_parts
+                if self._proof_ms.get(part_id, crash.at_ms - 1) < crash.at_ms
+            ]
+            by_crashes = _by_crashes(unproved, self._keys_by_part)
+            part_ids = by_crashes[:parts_left]
             if part_ids and len(reported) < _REPORTED_CRASHES:
                 parts_left -= len(part_ids)
                 age_ms = now_ms - crash.at_ms
@@ -181,10 +191,8 @@
 
     def reported_proofs(self, now_ms: int) -> tuple[ReportedProof, ...]:
         """Return this VM's proofs, those of parts in most crashes first."""
-        part_ids = sorted(
-            self._own_proof_ms.keys() & self._keys_by_part.keys(),
-            key=lambda part_id: (-len(self._keys_by_part[part_id]), part_id),
-        )
+        suspects = self._own_proof_ms.keys() & self._keys_by_part.keys()
+        part_ids = _by_crashes(sorted(suspects), self._keys_by_part)
         return tuple(
             ReportedProof(part_id, now_ms - self._own_proof_ms[part_id])
             for part_id in part_ids[:_REPORTED_PROOFS]
@@ -215,29 +223,16 @@
                 continue
             if len(crash.parts) < _MAX_PARTS_OF_CRASH:
                 crash.parts[part_id] = None
-                self._track(part_id, key)
                 changed = True
+                self._keys_by_part.setdefault(part_id, {})[key] = None
+                proved_ms = self._own_proof_ms.get(part_id)
+                if proved_ms is not None:
+                    self._note_proof(part_id, proved_ms)
         return changed
 
-    def _track(self, part_id: str, key: CrashKey) -> None:
-        self._keys_by_part.setdefault(part_id, {})[key] = None
-        if part_id in self._own_proof_ms:
-            self._note_proof(part_id, self._own_proof_ms[part_id])
-
     def _note_proof(self, part_id: str, at_ms: int) -> None:
         self._proof_ms[part_id] = max(at_ms, self._proof_ms.get(part_id, at_ms))
 
-    def _unproved_parts(self, crash: _Crash) -> list[str]:
-        unproved = [
-            part_id
-            for part_id in crash.own_parts
-            if self._proof_ms.get(part_id, crash.at_ms - 1) < crash.at_ms
-        ]
-        unproved.sort(
-            key=lambda part_id: len(self._keys_by_part[part_id]), reverse=True
-        )
-        return unproved
-
     def _drop(self, key: CrashKey) -> None:
         for part_id in self._crashes.pop(key).parts:
             keys = self._keys_by_part[part_id]
--- a/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
+++ b/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
@@ -19,6 +19,9 @@
 
 _MS = 1000
 _S = 1_000_000
+# Within a region, and between regions.
+_NEAR_DELAY_US = 2 * _MS
+_FAR_DELAY_US = 55 * _MS
 _EXCHANGE_MS = 20
 _RESEND_MS = 500
 _POPULAR_PARTS = 3
@@ -46,6 +49,22 @@
     restarted_vm_at: float | None = None
     partitioned_vm: tuple[float, float] | None = None
 
+    def deadly_part(self, prompt: Prompt, now_ms: int) -> str | None:
+        """Return the part of a prompt that is deadly now."""
+        now_s = now_ms / 1000
+        for part in prompt[:-1]:
+            for part_id, start_s, end_s in self.spells:
+                if part.part_id == part_id and start_s <= now_s < end_s:
+                    return part_id
+        return None
+
+    def is_partitioned(self, now_ms: int) -> bool:
+        """Return whether the first VM is cut off from the others now."""
+        if self.partitioned_vm is None:
+            return False
+        start_s, end_s = self.partitioned_vm
+        return start_s <= now_ms / 1000 < end_s
+
 
 class BlameOutcome(msgspec.Struct):
     """Hold what a run counted; times are in ms."""
@@ -138,9 +157,13 @@
             self.simulation.call_later(
                 offset_us, _Repeated(self, vm_id).exchange
             )
-        self._repeat(plan.sound_per_s, self._send_sound)
+        _repeat(self.simulation, plan.sound_per_s, self._send_sound)
         if plan.companion is not None:
-            self._repeat(plan.companion_sound_per_s, self._send_companion)
+            _repeat(
+                self.simulation,
+                plan.companion_sound_per_s,
+                self._send_companion,
+            )
         for index, (part_id, start_s, _end_s) in enumerate(plan.spells):
             if part_id not in {spell[0] for spell in plan.spells[:index]}:
                 self.simulation.call_at(
@@ -153,14 +176,12 @@
                 int(plan.restarted_vm_at * _S), self._restart_vm
             )
 
-    def _repeat(self, per_s: float, action: Callable[[], None]) -> None:
-        if per_s > 0:
-            _Poisson(self.simulation, per_s, action).wait()
-
     def _deadly_caller(self, part_id: str) -> Callable[[], None]:
         def begin() -> None:
-            self._repeat(
-                self.plan.deadly_per_s, lambda: self._send_deadly(part_id)
+            _repeat(
+                self.simulation,
+                self.plan.deadly_per_s,
+                lambda: self._send_deadly(part_id),
             )
 
         return begin
@@ -203,7 +224,7 @@
         """Ask a random VM to serve a prompt."""
         vm_id = self._rng.choice(tuple(self.cores))
         core = self.cores[vm_id]
-        deadly = self.deadly_part(prompt)
+        deadly = self.plan.deadly_part(prompt, self.now_ms)
         verdict = core.verdict(prompt, self.vm_ms(vm_id))
         outcome = self.outcome
         outcome.sound += deadly is None
@@ -229,15 +250,6 @@
         endpoint = self._rng.choice(up)
         _Attempt(self, endpoint, _Request(prompt, vm_id), retries).start()
 
-    def deadly_part(self, prompt: Prompt) -> str | None:
-        """Return the part of a prompt that is deadly now."""
-        now_s = self.now_ms / 1000
-        for part in prompt[:-1]:
-            for part_id, start_s, end_s in self.plan.spells:
-                if part.part_id == part_id and start_s <= now_s < end_s:
-                    return part_id
-        return None
-
     def crash(self, endpoint: _Endpoint, deadly: str | None = None) -> None:
         """Cut the connections of an endpoint and start it again later."""
         if deadly is not None:
@@ -284,10 +296,13 @@
 
     def _send_report(self, source: str, to: str, encoded: bytes) -> None:
         rng = self._rng
-        if self._is_partitioned(source, to) or rng.random() < self.plan.loss:
+        first_vm = next(iter(self.cores))
+        if first_vm in {source, to} and self.plan.is_partitioned(self.now_ms):
+            return
+        if rng.random() < self.plan.loss:
             return
         is_near = self._regions[source] == self._regions[to]
-        delay_us = (2 if is_near else 55) * _MS
+        delay_us = _NEAR_DELAY_US if is_near else _FAR_DELAY_US
         if rng.random() < self.plan.disorder:
             self.simulation.call_later(
                 rng.randrange(2 * _S),
@@ -299,13 +314,12 @@
             delay_us, _Delivery(self, source, to, encoded).apply
         )
 
-    def _is_partitioned(self, source: str, to: str) -> bool:
-        if self.plan.partitioned_vm is None:
-            return False
-        start_s, end_s = self.plan.partitioned_vm
-        return start_s <= self.now_ms / 1000 < end_s and next(
-            iter(self.cores)
-        ) in {source, to}
+
+def _repeat(
+    simulation: Simulation, per_s: float, action: Callable[[], None]
+) -> None:
+    if per_s > 0:
+        _Poisson(simulation, per_s, action).wait()
 
 
 class _Repeated(msgspec.Struct):
@@ -352,7 +366,9 @@
             if self.retries > 0:
                 self.fleet.send(self.request.prompt, self.retries - 1)
             return
-        deadly = self.fleet.deadly_part(self.request.prompt)
+        deadly = self.fleet.plan.deadly_part(
+            self.request.prompt, self.fleet.now_ms
+        )
         if deadly is not None:
             self.fleet.crash(self.endpoint, deadly)
             self.fleet.note_named()
