Close what the review of the blame of prompt parts found

- A forward refused for its prompt was tried again elsewhere, by a VM that had not heard of the quarantine yet; it is refused to the caller now.
- A block with a whole event and the start of the next proved nothing, so a long answer could be taken for one that had not begun; an empty stream proved everything.
The first whole event is the proof.
- A connection lost within the body of an error response was no evidence.
- A stopping VM got no evidence while it still served callers.
- A report that displaced crashes it had updated raised KeyError.
Found by reading, not run.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
@@ -30,6 +30,8 @@
 # grows with the fleet, so that each VM sends at most 50 datagrams per second.
 _REPEAT_MS = 500
 _REPEAT_PER_VM_MS = 20
+# A VM that has left the fleet still serves callers until it has drained.
+_STOPPING_MS = 10_000
 
 
 class CrashDatagram(Struct, frozen=True):
@@ -130,6 +132,7 @@
         self._sequence = clock.wall_ms()
         self._sent_ms = 0
         self._newest: dict[VmId, int] = {}
+        self._last_live_ms: dict[str, int] = {}
 
     def handle_datagram(self, content: bytes, host: str) -> None:
         """Merge the evidence of another VM unless it is outdated."""
@@ -145,13 +148,24 @@
         """Send new evidence at once and repeat what is held."""
         now_ms = self._clock.now_ms()
         self._blame.drop_expired(now_ms)
-        hosts = self.other_hosts(self._members.live_vms())
+        hosts = self._hosts(now_ms)
         repeat_ms = max(_REPEAT_MS, _REPEAT_PER_VM_MS * len(hosts))
         if self._blame.changed or now_ms - self._sent_ms >= repeat_ms:
             self._sent_ms = now_ms
             self._send_report(hosts, now_ms)
         return _PERIOD_S
 
+    def _hosts(self, now_ms: int) -> list[str]:
+        """Return the hosts to send to, including VMs that are stopping."""
+        live = self.other_hosts(self._members.live_vms())
+        self._last_live_ms.update(dict.fromkeys(live, now_ms))
+        self._last_live_ms = {
+            host: live_ms
+            for host, live_ms in self._last_live_ms.items()
+            if now_ms - live_ms <= _STOPPING_MS
+        }
+        return sorted(self._last_live_ms)
+
     def _send_report(self, hosts: list[str], now_ms: int) -> None:
         report = self._blame.report(now_ms)
         if report.is_empty:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -73,6 +73,8 @@
         self._service = service
         self._exclusions = Exclusions()
         self._retry_after_ms: int | None = None
+        # This VM may hear of a quarantine later than the one it forwards to.
+        self._prompt_refused = False
         self._verdict = Verdict(VerdictAction.ALLOW)
 
     async def run(self) -> Refusal | None:
@@ -105,6 +107,12 @@
             if ended is None:
                 return None
             self._plan.attempts.note_end(ended)
+            if self._prompt_refused and not self._plan.attempts.may_have_run:
+                return Refusal(
+                    RefusalCode.PROMPT_QUARANTINED,
+                    retry_after_ms=self._retry_after_ms,
+                    detail='refused by the VM that it was forwarded to',
+                )
             if not self._may_retry(ended):
                 return self._plan.attempts.refusal(ended, self._retry_after_ms)
 
@@ -217,7 +225,7 @@
         elif destination.record is None:
             refused = self._exclusions.regions | {destination.region}
             self._exclusions = Exclusions(self._exclusions.endpoints, refused)
-            if attempt.refusal_reason != _PROMPT_QUARANTINED:
+            if not self._prompt_refused:
                 regions.note_refusal(self._plan, destination.region)
         else:
             endpoints = self._exclusions.endpoints | {
@@ -246,6 +254,7 @@
         if opened.kind is ResponseKind.REGION_REFUSED:
             reason = opened.head.header(REASON_HEADER.lower())
             attempt.refusal_reason = reason or b''
+            self._prompt_refused = reason == _PROMPT_QUARANTINED
             value = opened.head.header(RETRY_HEADER.lower())
             self._retry_after_ms = parse_number(value)
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
@@ -273,6 +282,7 @@
     ) -> AttemptEnd | None:
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
         if isinstance(body, ResponseLoss):
+            attempt.loss = body
             return AttemptEnd.LOST
         if body.complete and self._may_retry_failure(opened.head):
             self._plan.attempts.sent += 1
@@ -352,7 +362,7 @@
                 break
             received_bytes += len(block)
             events.feed(block)
-            if not events.inside_event:
+            if events.event_ended:
                 # An endpoint that crashes on a prompt may send a part of the
                 # first event.
                 self._context.crashes.note_answer(
@@ -360,7 +370,10 @@
                 )
             self._call.write(block)
             await self._call.drain()
-        self._context.crashes.note_answer(attempt, self._plan.metadata.prompt)
+        if not events.empty:
+            self._context.crashes.note_answer(
+                attempt, self._plan.metadata.prompt
+            )
         attempt.mark_complete()
         self._call.finish()
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_blame.py
@@ -153,7 +153,11 @@
             at_ms = now_ms - proof.age_ms
             self._evidence.note_reported_proof(proof.part_id, at_ms)
             self._free((proof.part_id,), at_ms, now_ms)
-        if self._decision.evaluate(news, now_ms):
+        # A long report may have displaced crashes that it updated first.
+        held = set(self._evidence.keys())
+        if self._decision.evaluate(
+            [key for key in news if key in held], now_ms
+        ):
             self._changed = True
 
     def drop_expired(self, now_ms: int) -> None:
