--- a/features/steps/crash_blame.py
+++ b/features/steps/crash_blame.py
@@ -8,7 +8,8 @@
 )
 from baobabwharf_decisions.proxying.crash_report import CrashReport
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptPart
-from baobabwharf_testkit.crash_blame_simulation import BlameFleet, BlamePlan
+from baobabwharf_testkit.crash_blame_plan import BlamePlan
+from baobabwharf_testkit.crash_blame_simulation import BlameFleet
 from behave import given, then, when
 from behave.runner import Context
 
