Log what framed an answer and its end

A broken stream that was passed on as complete left no trace: request_ended said 'answered' and nothing told whether the endpoint's answer had a length, chunks or neither. request_ended and stream_broken now name the framing.

Test: the framing of each kind of stream in proxy_exchanges.feature.

--- a/features/functional/proxy_exchanges.feature
+++ b/features/functional/proxy_exchanges.feature
@@ -103,13 +103,14 @@
     Given an entry VM with endpoints that behave as: events-<framing>
     When a caller sends POST /stream/x with body "hello"
     Then the caller gets both events and the end of the response
+    And the log says that the answer to id-1 was framed by <logged>
 
     Examples:
-      | framing |
-      | chunked |
-      | length  |
-      | close   |
-      | untyped |
+      | framing | logged |
+      | chunked | chunks |
+      | length  | length |
+      | close   | close  |
+      | untyped | close  |
 
   Scenario: A response that ends with its connection is passed on completely
     Given an entry VM with endpoints that behave as: close-delimited
--- a/features/steps/proxy_exchanges.py
+++ b/features/steps/proxy_exchanges.py
@@ -644,6 +644,16 @@
     assert ended == [outcome], context.proxy.lines
 
 
+@then('the log says that the answer to {request_id} was framed by {framing}')
+def logged_framing(context: Context, request_id: str, framing: str) -> None:
+    framings = [
+        line['framing']
+        for line in context.proxy.lines
+        if line['event'] == 'request_ended' and line['request'] == request_id
+    ]
+    assert framings == [framing], context.proxy.lines
+
+
 @when('a caller disconnects {after_ms:d} ms after it sent {method} {target}')
 def leaves(context: Context, after_ms: int, method: str, target: str) -> None:
     proxy = context.proxy
--- a/packages/daemon/src/baobabwharf_daemon/proxy/http_messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/http_messages.py
@@ -1,5 +1,7 @@
 """Define the HTTP requests and responses that pass through this VM."""
 
+import enum
+
 import msgspec
 from baobabwharf_decisions.proxying.endpoint_load import LoadSample
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
@@ -84,6 +86,14 @@
     load: LoadSample | None = None
 
 
+class Framing(enum.Enum):
+    """Name what ends the body of a response."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CLOSE = 'close'
+
+
 class ResponseHead(msgspec.Struct, frozen=True):
     """Hold status and headers of a response; length is None if unknown."""
 
@@ -91,6 +101,7 @@
     reason: bytes
     headers: Headers
     length: int | None
+    framing: Framing = Framing.LENGTH
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its lower-case name."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -287,6 +287,7 @@
             service=plan.metadata.service,
             customer=plan.customer_id,
             outcome=outcome,
+            framing=None if plan.framing is None else plan.framing.value,
             took_ms=took_ms,
             first_ms=first_ms,
             sends=plan.attempts.sent + plan.attempts.unsent + (refusal is None),
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -237,6 +237,7 @@
         self, attempt: Attempt, opened: OpenedResponse
     ) -> AttemptEnd | None:
         self._plan.headers_received_ms = self._context.clock.now_ms()
+        self._plan.framing = opened.head.framing
         load = self._context.selector.load_of(attempt.destination)
         if load is not None and opened.metadata.load is not None:
             load.note_sample(opened.metadata.load, self._context.clock.now_ms())
@@ -350,6 +351,7 @@
                 self._log(
                     'stream_broken',
                     reason=block.value,
+                    framing=head.framing.value,
                     address=attempt.destination.address,
                     received_bytes=received_bytes,
                     took_ms=attempt.took_ms,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
@@ -6,6 +6,8 @@
 from baobabwharf_decisions.proxying.attempt_outcomes import AttemptCounts
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
 
+from baobabwharf_daemon.proxy.http_messages import Framing
+
 
 class ForwardMetadata(msgspec.Struct, frozen=True):
     """Carry a forwarded request's parameters to another VM.
@@ -47,6 +49,8 @@
     abort_reason: str | None = None
     # Time at which the headers of the latest response arrived.
     headers_received_ms: int | None = None
+    # What ended the body of that response.
+    framing: Framing | None = None
 
     @property
     def customer_id(self) -> CustomerId | None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -14,6 +14,7 @@
 
 from baobabwharf_daemon.event_boundary import EVENT_STREAM, EventBoundary
 from baobabwharf_daemon.proxy.http_messages import (
+    Framing,
     Header,
     ResponseHead,
     parse_number,
@@ -194,11 +195,9 @@
             self._skipping = True
             return
         headers = tuple(self._headers)
-        length, chunked = _framing(headers)
-        close_delimited = (
-            length is None and not chunked and status not in _NO_BODY
-        )
-        head = ResponseHead(status, self._reason, headers, length)
+        framing, length = _framing(status, headers)
+        close_delimited = framing is Framing.CLOSE
+        head = ResponseHead(status, self._reason, headers, length, framing)
         if not self._matches(head):
             self._skipping = True
             # A close-delimited response has no end after which the expected one
@@ -256,7 +255,9 @@
             self._lost = ResponseLoss.FOREIGN
 
 
-def _framing(headers: tuple[Header, ...]) -> tuple[int | None, bool]:
+def _framing(
+    status: int, headers: tuple[Header, ...]
+) -> tuple[Framing, int | None]:
     length = None
     chunked = False
     for name, value in headers:
@@ -265,7 +266,11 @@
             length = parse_number(value)
         elif lower == b'transfer-encoding':
             chunked = b'chunked' in value.lower()
-    return (None if chunked else length), chunked
+    if chunked:
+        return Framing.CHUNKS, None
+    if length is None and status not in _NO_BODY:
+        return Framing.CLOSE, None
+    return Framing.LENGTH, length
 
 
 def _idle_limit_ms(head: ResponseHead) -> int | None:
