--- a/features/unit/event_boundary.feature
+++ b/features/unit/event_boundary.feature
@@ -17,3 +17,7 @@
       | id: 1\ndata: x\r\n\r\n      | yes   | no    |
       | id: 1\ndata: x\n + \nid: 2  | yes   | yes   |
       | id: 1\r\n\r + \n            | yes   | no    |
+      | id: 1\r\n\r               | no    | yes   |
+      | id: 1\r + \n\r             | no    | yes   |
+      | id: 1\r + \r              | yes   | no    |
+      | id: 1\n\nid: 2\n\r         | yes   | yes   |
