Recognize streams without a content type however they are framed

On a streaming route an answer without a content type was searched for whole events only if it had neither length nor chunks. With either, a stream that ended inside an event was passed on as complete.

An answer that states another type is left alone: it may be a plain answer to a request that asked for no stream. The deadly-part scenarios now read such a stream in chunks to its last one, as strictly as before; their requests close the connection, since a chunked response ends only there for the reader of this test.

--- a/features/functional/answer_cuts.feature
+++ b/features/functional/answer_cuts.feature
@@ -34,6 +34,10 @@
       | one VM     | CRLF | text/event-stream |
       | one VM     | CR   | text/event-stream |
       | another VM | CRLF | text/event-stream |
+      | one VM     | LF   | no type           |
+      | one VM     | CRLF | no type           |
+      | one VM     | CR   | no type           |
+      | another VM | LF   | no type           |
 
   Scenario Outline: An answer whose head is cut is never a success: <way>, <prefix>
     Given a fleet where requests are served by <way>
--- a/features/steps/deadly_prompts.py
+++ b/features/steps/deadly_prompts.py
@@ -16,7 +16,9 @@
 
 
 def _send(proxy, number: int, parts: str) -> bytes:
-    header = f'X-Prompt-Prefix: {parts},own{number}:9\r\n'.encode()
+    header = (
+        f'X-Prompt-Prefix: {parts},own{number}:9\r\nConnection: close\r\n'
+    ).encode()
     request = proxy.request('POST', '/stream/x', f'{number}', more=header)
     try:
         return proxy.run(proxy.exchange(request))
@@ -75,4 +77,4 @@
 def answered(context: Context) -> None:
     for response in context.sound:
         assert response.startswith(b'HTTP/1.1 200'), response
-        assert response.endswith(b'data: y\n\n'), response
+        assert response.endswith(b'data: y\n\n\r\n0\r\n\r\n'), response
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -127,7 +127,8 @@
     ) -> None:
         """Prepare for the next response; bodiless is set for HEAD requests.
 
-        streaming means that a close-delimited response is a stream of events.
+        streaming means that a response that is close-delimited or states no
+        content type is a stream of events.
         """
         self._matches = matches
         self._bodiless = bodiless
@@ -240,10 +241,10 @@
         self.complete = True
 
     def _is_stream(self, head: ResponseHead) -> bool:
-        if self._streaming and self._close_delimited:
+        content_type = head.header(b'content-type')
+        if self._streaming and (self._close_delimited or content_type is None):
             return True
-        content_type = head.header(b'content-type') or b''
-        return content_type.lower().startswith(EVENT_STREAM.encode())
+        return (content_type or b'').lower().startswith(EVENT_STREAM.encode())
 
     def _check_bounds(self) -> None:
         if self.complete or self._lost is not None:
