Respect a length however it is spelled

Callers could get any beginning of an answer, plain ones too, framed as complete: one with 'Content-Length: 14 ' (space or tab after the number, as HTTP allows) or more than 15 digits, whose connection closed early. The parser read the length, our own reading of the header did not, and the answer counted as one that ends with its connection. Class: the end of an answer was judged twice, by different rules. A stated length now excludes that.

Found by spelling the framing in each way the protocol allows, cut after each byte.

Left as they are: a transfer coding whose last one is not chunked ends with the connection, as the protocol says; one that only contains the word counts as broken when the connection ends.

--- a/features/functional/answer_cuts.feature
+++ b/features/functional/answer_cuts.feature
@@ -66,6 +66,17 @@
       | another VM | /once/ |
       | another VM | /many/ |
 
+  Scenario Outline: The length of an answer counts, however it is spelled: <way>, <prefix>
+    Given a fleet where requests are served by <way>
+    When an answer on <prefix> spells its framing unusually and is cut
+    Then a response is complete only where the answer was
+
+    Examples:
+      | way        | prefix   |
+      | one VM     | /once/   |
+      | one VM     | /stream/ |
+      | another VM | /once/   |
+
   Scenario Outline: A stream whose endpoint falls silent is not complete: <way>
     Given a fleet where requests are served by <way>
     When the endpoint falls silent after each byte of a stream
--- a/features/steps/answer_cuts.py
+++ b/features/steps/answer_cuts.py
@@ -35,6 +35,7 @@
 from proxy_exchanges import NoLimits, ProxySubject, route
 from recorded_endpoint import (
     ENDINGS,
+    FRAMING_SPELLINGS,
     FRAMINGS,
     Answer,
     CutCase,
@@ -334,6 +335,20 @@
     context.received = context.fleet.play(prefix, cases)
 
 
+@when('an answer on {prefix} spells its framing unusually and is cut')
+def cut_spelled(context: Context, prefix: str) -> None:
+    is_stream = prefix == '/stream/'
+    context.line_end = b'\n' if is_stream else None
+    context.body = build_stream(b'\n') if is_stream else b'the whole body'
+    media = b'text/event-stream' if is_stream else b'text/plain'
+    cases = [
+        case
+        for framing in FRAMING_SPELLINGS
+        for case in body_cuts(build_answer(context.body, framing, media))
+    ]
+    context.received = context.fleet.play(prefix, cases)
+
+
 @when('the endpoint falls silent after each byte of a stream')
 def fall_silent(context: Context) -> None:
     context.line_end = b'\n'
--- a/features/steps/recorded_endpoint.py
+++ b/features/steps/recorded_endpoint.py
@@ -9,6 +9,13 @@
 
 CASE_HEADER = b'X-Case'
 FRAMINGS = ('length', 'chunked', 'close')
+# Spellings that the protocol allows.
+FRAMING_SPELLINGS = (
+    'length, space',
+    'length, tab',
+    'length, zeros',
+    'chunked, space',
+)
 ENDINGS = ('fin', 'half-close', 'reset')
 # Blocks that are written one after the other must not be read as one.
 _LOOP_TURNS = 3
@@ -26,14 +33,18 @@
     def head(self) -> bytes:
         framing = {
             'length': (b'Content-Length: %d' % len(self.body),),
+            'length, space': (b'Content-Length: %d ' % len(self.body),),
+            'length, tab': (b'Content-Length:\t%d\t' % len(self.body),),
+            'length, zeros': (b'Content-Length: %020d' % len(self.body),),
             'chunked': (b'Transfer-Encoding: chunked',),
+            'chunked, space': (b'Transfer-Encoding:  Chunked ',),
             'close': (),
         }[self.framing]
         return b'\r\n'.join((*self.lines, *framing, b'', b''))
 
     @property
     def wire(self) -> bytes:
-        if self.framing != 'chunked':
+        if not self.framing.startswith('chunked'):
             return self.head + self.body
         half = len(self.body) // 2
         chunks = [
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -260,18 +260,21 @@
     status: int, headers: tuple[Header, ...]
 ) -> tuple[Framing, int | None]:
     length = None
+    # The parser follows a length that is no usable number here, too.
+    length_stated = False
     chunked = False
     for name, value in headers:
         lower = name.lower()
         if lower == b'content-length':
-            length = parse_number(value)
+            length_stated = True
+            length = parse_number(value.strip())
         elif lower == b'transfer-encoding':
             chunked = b'chunked' in value.lower()
     if chunked:
         return Framing.CHUNKS, None
-    if length is None and status not in _NO_BODY:
-        return Framing.CLOSE, None
-    return Framing.LENGTH, length
+    if length_stated or status in _NO_BODY:
+        return Framing.LENGTH, length
+    return Framing.CLOSE, None
 
 
 def _idle_limit_ms(head: ResponseHead) -> int | None:
