Abort an event stream of a service that ends inside an event

A service's event stream was relayed by its framing alone: one that ended inside an event, but with its length or last chunk, reached the caller as complete. It is now aborted and sent without a length, so that the caller can tell.

The test cuts answers to the own interface after each byte: completions, plain answers, event streams of services and heads; LF and CRLF; framings in all spellings; one VM, and through another. Completions, plain answers and heads had no fault: they end only with [DONE], and answers without length and chunks are refused.

--- a/features/steps/answer_cuts.py
+++ b/features/steps/answer_cuts.py
@@ -34,13 +34,14 @@
 from msgspec.structs import replace
 from proxy_exchanges import NoLimits, ProxySubject, route
 from recorded_endpoint import (
-    ENDINGS,
     FRAMING_SPELLINGS,
     FRAMINGS,
     Answer,
     CutCase,
     Received,
     RecordedEndpoint,
+    body_cuts,
+    cut_everywhere,
     read_answer,
 )
 
@@ -242,25 +243,6 @@
     return Answer(tuple(lines), body, framing)
 
 
-def cut_everywhere(answer: Answer, endings=ENDINGS) -> list[CutCase]:
-    """Return each cut of an answer with each ending, and its splits."""
-    end = len(answer.wire)
-    cuts = [
-        CutCase(answer, cut, ending, kept=kept)
-        for cut in range(1, end + 1)
-        for ending in endings
-        for kept in (False, True)
-    ]
-    splits = [CutCase(answer, end, 'fin', split) for split in range(1, end)]
-    return cuts + splits if 'fin' in endings else cuts
-
-
-def body_cuts(answer: Answer) -> list[CutCase]:
-    """Return the cuts of an answer from the end of its head on."""
-    begin = len(answer.head)
-    return [case for case in cut_everywhere(answer) if case.cut >= begin]
-
-
 def ends_between_events(body: bytes, stream: bytes, line_end: bytes) -> bool:
     """Return whether a beginning of the stream ends after a whole event."""
     first = stream.index(line_end * 2) + 2 * len(line_end)
--- a/features/steps/recorded_endpoint.py
+++ b/features/steps/recorded_endpoint.py
@@ -7,7 +7,8 @@
 
 from proxy_exchanges import reset_connection
 
-CASE_HEADER = b'X-Case'
+# Stands for the id of the request in answers to ids of this length.
+ID_PLACEHOLDER = b'.' * 20
 FRAMINGS = ('length', 'chunked', 'close')
 # Spellings that the protocol allows.
 FRAMING_SPELLINGS = (
@@ -69,6 +70,19 @@
     def sent(self) -> bytes:
         return self.answer.wire[: self.cut]
 
+    @property
+    def sent_body(self) -> bytes:
+        """The part of the body that was sent, without its framing."""
+        content = self.sent[len(self.answer.head) :]
+        if not self.answer.framing.startswith('chunked'):
+            return content
+        body = b''
+        while b'\r\n' in content:
+            size, _end, content = content.partition(b'\r\n')
+            body += content[: int(size, 16)]
+            content = content[int(size, 16) + 2 :]
+        return body
+
     @property
     def is_whole(self) -> bool:
         """Whether the endpoint sent all, and showed that it was all."""
@@ -85,6 +99,25 @@
         )
 
 
+def cut_everywhere(answer: Answer, endings=ENDINGS) -> list[CutCase]:
+    """Return each cut of an answer with each ending, and its splits."""
+    end = len(answer.wire)
+    cuts = [
+        CutCase(answer, cut, ending, kept=kept)
+        for cut in range(1, end + 1)
+        for ending in endings
+        for kept in (False, True)
+    ]
+    splits = [CutCase(answer, end, 'fin', split) for split in range(1, end)]
+    return cuts + splits if 'fin' in endings else cuts
+
+
+def body_cuts(answer: Answer) -> list[CutCase]:
+    """Return the cuts of an answer from the end of its head on."""
+    begin = len(answer.head)
+    return [case for case in cut_everywhere(answer) if case.cut >= begin]
+
+
 class RecordedEndpoint:
     """Answer each request with the case that its header names."""
 
@@ -128,9 +161,9 @@
     async def _serve_request(self, reader, writer, number: int) -> None:
         head = await reader.readuntil(b'\r\n\r\n')
         length = re.search(rb'(?i)content-length: (\d+)', head)
-        await reader.readexactly(int(length[1]) if length else 0)
+        body = await reader.readexactly(int(length[1]) if length else 0)
         request_id = re.search(rb'(?i)x-request-id: (\S+)', head)[1]
-        case_number = re.search(rb'(?i)x-case: (\S+)', head)[1]
+        case_number = re.search(rb'(?i)case[:-] ?(\w+)', head + body)[1]
         self._awaited -= 1
         if self._awaited == 0:
             self._barrier.set()
@@ -143,10 +176,11 @@
             return
         if number:
             self.reused.add(int(case_number))
-        await self._play(self.cases[int(case_number)], writer)
+        case = self.cases[int(case_number)]
+        sent = case.sent.replace(ID_PLACEHOLDER, request_id)
+        await self._play(case, sent, writer)
 
-    async def _play(self, case: CutCase, writer) -> None:
-        sent = case.sent
+    async def _play(self, case: CutCase, sent: bytes, writer) -> None:
         if case.split:
             writer.write(sent[: case.split])
             for _turn in range(_LOOP_TURNS):
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/response_relay.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/response_relay.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from baobabwharf_daemon.event_boundary import EVENT_STREAM, EventBoundary
 from baobabwharf_daemon.forwarding.event_stream_parser import EventStreamParser
 from baobabwharf_daemon.forwarding.watchdog import Watchdog
 from baobabwharf_daemon.gateway.calls import Progress, ResponseWriter
@@ -15,7 +16,6 @@
 UPSTREAM_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 STREAM_END_TIMEOUT_S = 0.25
 LARGE_BODY_IDLE_TIMEOUT_S = 30
-EVENT_STREAM = 'text/event-stream'
 _NO_BODY_STATUSES = frozenset((204, 304))
 _DROPPED_HEADERS = frozenset(
     (
@@ -173,15 +173,20 @@
     headers: dict[str, str],
     writer: ResponseWriter,
 ) -> RelayResult:
-    """Stream a large body; abort the caller's connection if it is truncated."""
+    """Stream a large body; abort the caller's connection if it is truncated.
+
+    A stream of events is truncated, too, if it ends inside an event.
+    """
+    events = EventBoundary() if is_event_stream(response) else None
     length = response.headers.get('Content-Length')
-    if length is not None:
+    # With a length, such a stream would look complete before it is aborted.
+    if length is not None and events is None:
         headers = {**headers, 'Content-Length': length}
     await writer.start_stream(response.status, headers)
     await writer.write(head)
     watchdog = Watchdog(response, LARGE_BODY_IDLE_TIMEOUT_S)
     try:
-        await _copy_chunks(response, writer, watchdog)
+        await _copy_chunks(response, writer, watchdog, events)
     except UPSTREAM_ERRORS as error:
         writer.abort()
         return RelayResult(
@@ -191,12 +196,20 @@
         )
     finally:
         watchdog.stop()
+    if events is not None and events.inside_event:
+        writer.abort()
+        return RelayResult(
+            complete=False, detail='The stream ended inside an event.'
+        )
     await writer.end_stream(b'')
     return RelayResult(complete=True)
 
 
 async def _copy_chunks(
-    response: aiohttp.ClientResponse, writer: ResponseWriter, watchdog: Watchdog
+    response: aiohttp.ClientResponse,
+    writer: ResponseWriter,
+    watchdog: Watchdog,
+    events: EventBoundary | None,
 ) -> None:
     while True:
         watchdog.start_waiting()
@@ -204,4 +217,6 @@
         if not chunk:
             return
         watchdog.record_chunk()
+        if events is not None:
+            events.feed(chunk)
         await writer.write(chunk)
