Refuse answers to the own interface whose transfer coding is not chunked

The own interface passes no plain answer on whose end only the close of its connection shows. It took any Transfer-Encoding header for a framing; with 'identity' an answer ends with the connection, and each beginning of it, also before a reset, reached the caller framed as complete. A content type is compared without case, as on the platform's interface.

--- a/features/steps/answer_cuts.py
+++ b/features/steps/answer_cuts.py
@@ -354,9 +354,12 @@
     """
     answer = case.answer
     body = case.sent[len(answer.head) :]
-    if case.is_whole and answer.framing != 'close':
+    if case.is_whole and not answer.ends_with_connection:
         return ends_between_events(answer.body, context.body, context.line_end)
-    if answer.framing != 'close' or case.ending not in {'fin', 'half-close'}:
+    if not answer.ends_with_connection or case.ending not in {
+        'fin',
+        'half-close',
+    }:
         return False
     if case.cut < len(answer.head):
         return False
--- a/features/steps/gateway_cuts.py
+++ b/features/steps/gateway_cuts.py
@@ -202,7 +202,7 @@
     boundaries = getattr(context, 'boundaries', set())
     for case, received in context.received:
         complete = received.complete and received.status == 200
-        framed = case.is_whole and case.answer.framing != 'close'
+        framed = case.is_whole and not case.answer.ends_with_connection
         whole = framed and case.answer.body == context.body
         allowed = framed and len(case.answer.body) in boundaries
         if complete and received.body != context.body and not allowed:
--- a/features/steps/recorded_endpoint.py
+++ b/features/steps/recorded_endpoint.py
@@ -16,6 +16,7 @@
     'length, tab',
     'length, zeros',
     'chunked, space',
+    'close, identity',
 )
 ENDINGS = ('fin', 'half-close', 'reset')
 # Blocks that are written one after the other must not be read as one.
@@ -30,6 +31,10 @@
     body: bytes
     framing: str
 
+    @property
+    def ends_with_connection(self) -> bool:
+        return self.framing.startswith('close')
+
     @property
     def head(self) -> bytes:
         framing = {
@@ -40,6 +45,7 @@
             'chunked': (b'Transfer-Encoding: chunked',),
             'chunked, space': (b'Transfer-Encoding:  Chunked ',),
             'close': (),
+            'close, identity': (b'Transfer-Encoding: identity',),
         }[self.framing]
         return b'\r\n'.join((*self.lines, *framing, b'', b''))
 
@@ -88,7 +94,7 @@
         """Whether the endpoint sent all, and showed that it was all."""
         closes = self.ending in {'fin', 'half-close'}
         return self.cut == len(self.answer.wire) and (
-            self.answer.framing != 'close' or closes
+            not self.answer.ends_with_connection or closes
         )
 
     def __str__(self) -> str:
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/response_relay.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/response_relay.py
@@ -61,7 +61,7 @@
 def is_event_stream(response: aiohttp.ClientResponse) -> bool:
     """Return whether a response is a stream of server-sent events."""
     content_type = response.headers.get('Content-Type', '')
-    return content_type.startswith(EVENT_STREAM)
+    return content_type.lower().startswith(EVENT_STREAM)
 
 
 def can_detect_truncation(response: aiohttp.ClientResponse) -> bool:
@@ -69,7 +69,9 @@
     headers = response.headers
     if response.method == 'HEAD' or response.status in _NO_BODY_STATUSES:
         return True
-    return 'Content-Length' in headers or 'Transfer-Encoding' in headers
+    # Any other transfer coding ends with the connection.
+    chunked = 'chunked' in headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' in headers or chunked
 
 
 async def relay_events(
