Speak of traits of requests where blame spoke of prompt parts

The search for what crashes endpoints is to recognize requests by more than the parts of their prompt, so evidence, quarantine and trials take the traits of a request, which one function derives. The refusal is now request_quarantined and the log line trait_tried.

--- a/features/steps/crash_blame.py
+++ b/features/steps/crash_blame.py
@@ -7,7 +7,11 @@
     VerdictAction,
 )
 from baobabwharf_decisions.proxying.crash_report import CrashReport
-from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptPart
+from baobabwharf_decisions.proxying.prompt_cache import PromptPart
+from baobabwharf_decisions.proxying.request_traits import (
+    Traits,
+    request_traits,
+)
 from baobabwharf_testkit.crash_blame_plan import BlamePlan
 from baobabwharf_testkit.crash_blame_simulation import BlameFleet
 from behave import given, then, when
@@ -47,9 +51,11 @@
 }
 
 
-def prompt_of(names: str, last: str = 'last') -> Prompt:
+def traits_of(names: str, last: str = 'last') -> Traits:
     parts = [name for name in names.split('/') if name]
-    return tuple(PromptPart(name, 100) for name in (*parts, last))
+    return request_traits(
+        tuple(PromptPart(name, 100) for name in (*parts, last))
+    )
 
 
 class BlameSubject:
@@ -60,7 +66,7 @@
 
     def crash(self, endpoint: str, names: str, now_ms: int) -> None:
         suspects = [
-            prompt_of(each, f'last-{index}')
+            traits_of(each, f'last-{index}')
             for index, each in enumerate(names.split(','))
         ]
         for suspect in suspects:
@@ -100,7 +106,7 @@
 
     def actions(self, names: str) -> set[VerdictAction]:
         return {
-            core.verdict(prompt_of(names), self.clock_ms(index)).action
+            core.verdict(traits_of(names), self.clock_ms(index)).action
             for index, core in enumerate(self.cores)
         }
 
@@ -132,13 +138,13 @@
 def all_allowed(context: Context, at_ms: int) -> None:
     core = context.subject.core
     for names in ('', 'last', 'last-0'):
-        verdict = core.verdict(prompt_of(names, 'last-0'), at_ms)
+        verdict = core.verdict(traits_of(names, 'last-0'), at_ms)
         assert verdict.action is VerdictAction.ALLOW, verdict
 
 
 @when('an answer to prompt {names} goes on at {at_ms:d}')
 def answer(context: Context, names: str, at_ms: int) -> None:
-    context.subject.core.note_answer(prompt_of(names), at_ms)
+    context.subject.core.note_answer(traits_of(names), at_ms)
 
 
 @when('the trial of {part_id} is sent at {at_ms:d}')
@@ -158,22 +164,22 @@
 def refused(
     context: Context, names: str, at_ms: int, wait_ms: int, part_id: str
 ) -> None:
-    verdict = context.subject.core.verdict(prompt_of(names), at_ms)
+    verdict = context.subject.core.verdict(traits_of(names), at_ms)
     assert verdict.action is VerdictAction.REFUSE, verdict
-    assert verdict.part_id == part_id, verdict
+    assert verdict.trait_id == part_id, verdict
     assert verdict.retry_after_ms == wait_ms, verdict
     assert context.subject.core.explain(part_id, at_ms)
 
 
 @then('prompt {names} is allowed at {at_ms:d}')
 def allowed(context: Context, names: str, at_ms: int) -> None:
-    verdict = context.subject.core.verdict(prompt_of(names), at_ms)
+    verdict = context.subject.core.verdict(traits_of(names), at_ms)
     assert verdict.action is VerdictAction.ALLOW, verdict
 
 
 @then('prompt {names} is tried at {at_ms:d}')
 def tried(context: Context, names: str, at_ms: int) -> None:
-    verdict = context.subject.core.verdict(prompt_of(names), at_ms)
+    verdict = context.subject.core.verdict(traits_of(names), at_ms)
     assert verdict.action is VerdictAction.PROBE, verdict
 
 
@@ -183,11 +189,11 @@
     now_ms = 3001
     context.holds_s = []
     for index in range(7):
-        verdict = core.verdict(prompt_of('bad'), now_ms)
+        verdict = core.verdict(traits_of('bad'), now_ms)
         context.holds_s.append(round((verdict.retry_after_ms or 0) / 1000))
         now_ms += verdict.retry_after_ms or 0
         assert (
-            core.verdict(prompt_of('bad'), now_ms).action is VerdictAction.PROBE
+            core.verdict(traits_of('bad'), now_ms).action is VerdictAction.PROBE
         )
         core.note_probe('bad', now_ms)
         now_ms += 300
@@ -213,7 +219,7 @@
         core.note_crash(
             EndpointId(f'endpoint-{index}'),
             1,
-            (prompt_of(f'system-{index}/bad'),),
+            (traits_of(f'system-{index}/bad'),),
             pair.clock_ms(index),
         )
         assert core.changed
@@ -231,7 +237,7 @@
 def free_one(context: Context) -> None:
     pair = context.pair
     pair.now_ms += 5000
-    pair.cores[0].note_answer(prompt_of('bad'), pair.clock_ms(0))
+    pair.cores[0].note_answer(traits_of('bad'), pair.clock_ms(0))
     assert pair.cores[0].changed
     pair.exchange()
 
@@ -271,7 +277,7 @@
         pair.cores[0].note_crash(
             EndpointId(f'endpoint-{at_ms}'),
             1,
-            (prompt_of('bad'),),
+            (traits_of('bad'),),
             pair.clock_ms(0),
         )
     pair.now_ms = 33_900
@@ -287,7 +293,7 @@
         may_try = {
             index
             for index, core in enumerate(pair.cores)
-            if core.verdict(prompt_of('bad'), pair.clock_ms(index)).action
+            if core.verdict(traits_of('bad'), pair.clock_ms(index)).action
             is VerdictAction.PROBE
         }
         assert len(may_try) <= len(pair.cores) // 5, (now_ms, may_try)
--- a/packages/core/src/baobabwharf_core/refusals.py
+++ b/packages/core/src/baobabwharf_core/refusals.py
@@ -34,7 +34,7 @@
     HOP_LIMIT = 'hop_limit'
     VM_STOPPING = 'vm_stopping'
     VM_NOT_READY = 'vm_not_ready'
-    PROMPT_QUARANTINED = 'prompt_quarantined'
+    REQUEST_QUARANTINED = 'request_quarantined'
     RETRY_BUDGET_EMPTY = 'retry_budget_empty'
     ENDPOINT_FAILED = 'endpoint_failed'
     ENDPOINT_TIMEOUT = 'endpoint_timeout'
@@ -112,9 +112,9 @@
     RefusalCode.VM_NOT_READY: Advice(
         503, 'Choose another VM from GET /v1/entry-vms.'
     ),
-    RefusalCode.PROMPT_QUARANTINED: Advice(
+    RefusalCode.REQUEST_QUARANTINED: Advice(
         503,
-        'A part of this prompt crashed endpoints. Send it without that part, or after the time in Retry-After.',
+        'This request, or a part of its prompt, crashed endpoints. Send it without that part, or after the time in Retry-After.',
     ),
     RefusalCode.RETRY_BUDGET_EMPTY: Advice(
         503, 'Too many requests fail now. Try again later.'
--- a/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
@@ -13,7 +13,7 @@
     VerdictAction,
 )
 from baobabwharf_decisions.proxying.crash_report import CrashReport
-from baobabwharf_decisions.proxying.prompt_cache import Prompt
+from baobabwharf_decisions.proxying.request_traits import Traits
 from expression import Error, Ok, Result
 from msgspec import Struct
 
@@ -44,58 +44,57 @@
 
 @final
 class CrashWatch:
-    """Own the evidence of this VM and judge prompts by all evidence."""
+    """Own the evidence of this VM and judge requests by all evidence."""
 
     def __init__(self, vm_id: VmId, clock: Clock, log: DecisionLog) -> None:
         self._clock = clock
         self._log = log
         self.blame = CrashBlame(vm_id)
 
-    def judge(self, prompt: Prompt) -> Result[Verdict, Refusal]:
-        """Return a refusal if a part of the prompt crashes endpoints."""
+    def judge(self, traits: Traits) -> Result[Verdict, Refusal]:
+        """Return a refusal if a trait of the request crashes endpoints."""
         now_ms = self._clock.now_ms()
-        verdict = self.blame.verdict(prompt, now_ms)
+        verdict = self.blame.verdict(traits, now_ms)
         if verdict.action is not VerdictAction.REFUSE:
             return Ok(verdict)
-        part_id = verdict.part_id or ''
+        trait_id = verdict.trait_id or ''
         return Error(
             Refusal(
-                RefusalCode.PROMPT_QUARANTINED,
+                RefusalCode.REQUEST_QUARANTINED,
                 retry_after_ms=verdict.retry_after_ms,
-                detail=self.blame.explain(part_id, now_ms) or '',
+                detail=self.blame.explain(trait_id, now_ms) or '',
             )
         )
 
     def note_sent(self, verdict: Verdict) -> None:
-        """Announce the request if it is the trial of a part."""
-        if verdict.action is VerdictAction.PROBE and verdict.part_id:
+        """Announce the request if it is the trial of a trait."""
+        if verdict.action is VerdictAction.PROBE and verdict.trait_id:
             now_ms = self._clock.now_ms()
             self._log.record(
-                'part_tried',
-                part=verdict.part_id,
-                inputs=self.blame.explain(verdict.part_id, now_ms),
+                'trait_tried',
+                trait=verdict.trait_id,
+                inputs=self.blame.explain(verdict.trait_id, now_ms),
             )
-            self.blame.note_probe(verdict.part_id, now_ms)
+            self.blame.note_probe(verdict.trait_id, now_ms)
 
     def note_unsent(self, verdict: Verdict) -> None:
         """Withdraw a trial that reached no endpoint."""
-        if verdict.action is VerdictAction.PROBE and verdict.part_id:
-            self.blame.note_probe_unsent(verdict.part_id, self._clock.now_ms())
+        if verdict.action is VerdictAction.PROBE and verdict.trait_id:
+            self.blame.note_probe_unsent(verdict.trait_id, self._clock.now_ms())
 
-    def note_answer(self, attempt: Attempt, prompt: Prompt) -> None:
+    def note_answer(self, attempt: Attempt, traits: Traits) -> None:
         """Record that an endpoint went on after it had begun an answer."""
         if attempt.answer_went_on or attempt.destination.record is None:
             return
         attempt.answer_went_on = True
-        self.blame.note_answer(prompt, self._clock.now_ms())
+        self.blame.note_answer(traits, self._clock.now_ms())
 
     def note_end(self, attempt: Attempt, metadata: ForwardMetadata) -> None:
         """Record an endpoint that was lost before its answer went on."""
         record = attempt.destination.record
         if record is None or not attempt.crash_suspected:
             return
-        if len(metadata.prompt) < 2:
-            # Without shared parts there is nothing to blame.
+        if not metadata.traits:
             return
         CRASH_EVIDENCE.inc({'source': 'own'})
         self._log.record(
@@ -103,12 +102,12 @@
             request=metadata.request_id,
             endpoint=record.endpoint_id,
             incarnation=record.incarnation,
-            parts=metadata.part_ids[:-1],
+            traits=metadata.traits,
         )
         self.blame.note_crash(
             record.endpoint_id,
             record.incarnation,
-            (metadata.prompt,),
+            (metadata.traits,),
             self._clock.now_ms(),
         )
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -46,7 +46,7 @@
 
 _UNSENT_ENDS = frozenset((AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED))
 _VM_STOPPING = RefusalCode.VM_STOPPING.value.encode()
-_PROMPT_QUARANTINED = RefusalCode.PROMPT_QUARANTINED.value.encode()
+_REQUEST_QUARANTINED = RefusalCode.REQUEST_QUARANTINED.value.encode()
 
 _END_BY_KIND = {
     ResponseKind.NOT_EXECUTED: AttemptEnd.NOT_EXECUTED,
@@ -74,7 +74,7 @@
         self._exclusions = Exclusions()
         self._retry_after_ms: int | None = None
         # This VM may hear of a quarantine later than the one it forwards to.
-        self._prompt_refused = False
+        self._quarantined = False
         self._verdict = Verdict(VerdictAction.ALLOW)
 
     async def run(self) -> Refusal | None:
@@ -107,9 +107,9 @@
             if ended is None:
                 return None
             self._plan.attempts.note_end(ended)
-            if self._prompt_refused and not self._plan.attempts.may_have_run:
+            if self._quarantined and not self._plan.attempts.may_have_run:
                 return Refusal(
-                    RefusalCode.PROMPT_QUARANTINED,
+                    RefusalCode.REQUEST_QUARANTINED,
                     retry_after_ms=self._retry_after_ms,
                     detail='refused by the VM that it was forwarded to',
                 )
@@ -117,8 +117,8 @@
                 return self._plan.attempts.refusal(ended, self._retry_after_ms)
 
     def _select(self) -> Selection:
-        """Return the next destination unless the prompt crashes endpoints."""
-        judged = self._context.crashes.judge(self._plan.metadata.prompt)
+        """Return the next destination unless the request crashes endpoints."""
+        judged = self._context.crashes.judge(self._plan.metadata.traits)
         if judged.is_error():
             return Error(judged.error)
         self._verdict = judged.ok
@@ -225,7 +225,7 @@
         elif destination.record is None:
             refused = self._exclusions.regions | {destination.region}
             self._exclusions = Exclusions(self._exclusions.endpoints, refused)
-            if not self._prompt_refused:
+            if not self._quarantined:
                 regions.note_refusal(self._plan, destination.region)
         else:
             endpoints = self._exclusions.endpoints | {
@@ -255,7 +255,7 @@
         if opened.kind is ResponseKind.REGION_REFUSED:
             reason = opened.head.header(REASON_HEADER.lower())
             attempt.refusal_reason = reason or b''
-            self._prompt_refused = reason == _PROMPT_QUARANTINED
+            self._quarantined = reason == _REQUEST_QUARANTINED
             value = opened.head.header(RETRY_HEADER.lower())
             self._retry_after_ms = parse_number(value)
         body = await read_body(opened, _MAX_BUFFERED_BYTES)
@@ -274,7 +274,7 @@
         if isinstance(body, ResponseLoss):
             attempt.loss = body
             return AttemptEnd.LOST
-        self._context.crashes.note_answer(attempt, self._plan.metadata.prompt)
+        self._context.crashes.note_answer(attempt, self._plan.metadata.traits)
         await self._send_response(attempt, opened, body)
         return None
 
@@ -368,13 +368,13 @@
                 # An endpoint that crashes on a prompt may send a part of the
                 # first event.
                 self._context.crashes.note_answer(
-                    attempt, self._plan.metadata.prompt
+                    attempt, self._plan.metadata.traits
                 )
             self._call.write(block)
             await self._call.drain()
         if not events.empty:
             self._context.crashes.note_answer(
-                attempt, self._plan.metadata.prompt
+                attempt, self._plan.metadata.traits
             )
         attempt.mark_complete()
         self._call.finish()
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
@@ -5,6 +5,10 @@
 from baobabwharf_core.ids import CustomerId, RegionId, ServiceId
 from baobabwharf_decisions.proxying.attempt_outcomes import AttemptCounts
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
+from baobabwharf_decisions.proxying.request_traits import (
+    Traits,
+    request_traits,
+)
 
 from baobabwharf_daemon.proxy.http_messages import Framing
 
@@ -30,6 +34,11 @@
     prompt: Prompt = ()
     resume_after: int | None = None
 
+    @property
+    def traits(self) -> Traits:
+        """Return what the request is recognized by if it crashes endpoints."""
+        return request_traits(self.prompt)
+
     @property
     def part_ids(self) -> list[str]:
         """Return the ids of the parts of the prompt."""
--- a/packages/decisions/src/baobabwharf_decisions/proxying/blame_decision.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/blame_decision.py
@@ -1,7 +1,7 @@
-"""Decide which prompt parts are blamed for crashes.
+"""Decide which traits of requests are blamed for crashes.
 
-The part in most crashes is blamed first; a crash that it explains counts for no
-part that was in fewer.  Parts that always came together are all blamed.
+The trait in most crashes is blamed first; a crash that it explains counts for no
+trait that was in fewer.  Traits that always came together are all blamed.
 """
 
 from collections.abc import Iterable
@@ -12,8 +12,8 @@
     CrashEvidence,
 )
 from baobabwharf_decisions.proxying.crash_report import CrashKey
-from baobabwharf_decisions.proxying.part_probes import PartProbes
-from baobabwharf_decisions.proxying.part_quarantine import (
+from baobabwharf_decisions.proxying.trait_probes import TraitProbes
+from baobabwharf_decisions.proxying.trait_quarantine import (
     BLAME_NEW_CRASHES,
     BLAME_PROVED_CRASHES,
     Quarantine,
@@ -29,7 +29,7 @@
         self,
         evidence: CrashEvidence,
         quarantines: QuarantineTable,
-        probes: PartProbes,
+        probes: TraitProbes,
     ) -> None:
         self._evidence = evidence
         self._quarantines = quarantines
@@ -49,13 +49,13 @@
         )
 
     def evaluate(self, keys: Iterable[CrashKey], now_ms: int) -> bool:
-        """Blame parts of some crashes; return whether anything changed."""
+        """Blame traits of some crashes; return whether anything changed."""
         changed = False
-        parts: dict[str, None] = {}
+        traits: dict[str, None] = {}
         for key in keys:
             changed = self._strike(key, now_ms) or changed
-            parts.update(dict.fromkeys(self._evidence.suspects(key)))
-        while self._blame_most_suspected(parts):
+            traits.update(dict.fromkeys(self._evidence.suspects(key)))
+        while self._blame_most_suspected(traits):
             changed = True
         return self._quarantines.doubt_explained() or changed
 
@@ -76,52 +76,52 @@
         ]
         for entry in tried or entries:
             if self._quarantines.strike(entry, key, at_ms):
-                self._probes.cancel(entry.part_id)
+                self._probes.cancel(entry.trait_id)
                 changed = True
         return changed
 
-    def _blame_most_suspected(self, part_ids: Iterable[str]) -> bool:
+    def _blame_most_suspected(self, trait_ids: Iterable[str]) -> bool:
         counted = {}
-        for part_id in part_ids:
-            crashes = self._counted_crashes(part_id)
-            if len(crashes) >= self._crashes_to_blame(part_id):
-                counted[part_id] = crashes
+        for trait_id in trait_ids:
+            crashes = self._counted_crashes(trait_id)
+            if len(crashes) >= self._crashes_to_blame(trait_id):
+                counted[trait_id] = crashes
         most = max((len(crashes) for crashes in counted.values()), default=0)
         blamed = [each for each in counted if len(counted[each]) == most]
-        for part_id in blamed:
-            self._blame(part_id, counted[part_id], len(blamed) > 1)
+        for trait_id in blamed:
+            self._blame(trait_id, counted[trait_id], len(blamed) > 1)
         return bool(blamed)
 
-    def _counted_crashes(self, part_id: str) -> list[CrashKey]:
-        before = self._quarantines.find(part_id)
+    def _counted_crashes(self, trait_id: str) -> list[CrashKey]:
+        before = self._quarantines.find(trait_id)
         if before is not None and before.is_active:
             return []
         freed_ms = None if before is None else before.freed_ms
-        crashes = self._evidence.counted(part_id, (), freed_ms)
-        if len(crashes) < self._crashes_to_blame(part_id):
+        crashes = self._evidence.counted(trait_id, (), freed_ms)
+        if len(crashes) < self._crashes_to_blame(trait_id):
             return []
         explained = self._explained_crashes(len(crashes))
-        return self._evidence.counted(part_id, explained, freed_ms)
+        return self._evidence.counted(trait_id, explained, freed_ms)
 
     def _blame(
-        self, part_id: str, crashes: list[CrashKey], is_tied: bool
+        self, trait_id: str, crashes: list[CrashKey], is_tied: bool
     ) -> None:
         self._quarantines.blame(
-            part_id,
+            trait_id,
             crashes,
             self._evidence.crash_ms(crashes[-1]),
-            is_tied and self._evidence.was_proved(part_id),
+            is_tied and self._evidence.was_proved(trait_id),
         )
 
-    def _crashes_to_blame(self, part_id: str) -> int:
-        if self._quarantines.is_watched(part_id):
+    def _crashes_to_blame(self, trait_id: str) -> int:
+        if self._quarantines.is_watched(trait_id):
             return 1
-        if self._evidence.was_proved(part_id):
+        if self._evidence.was_proved(trait_id):
             return BLAME_PROVED_CRASHES
         return BLAME_NEW_CRASHES
 
     def _explained_crashes(self, count: int) -> set[CrashKey]:
-        """Return the crashes with a refused part that was in more of them.
+        """Return the crashes with a refused trait that was in more of them.
 
         One with fewer or as many may be blamed only since it was noticed first.
         """
@@ -129,5 +129,5 @@
         for entry in self._quarantines.entries():
             if entry.is_active and len(entry.crashes) > count:
                 explained.update(entry.crashes)
-                explained.update(self._evidence.unproved(entry.part_id))
+                explained.update(self._evidence.unproved(entry.trait_id))
         return explained
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
@@ -1,8 +1,8 @@
-"""Count the crashes that a prompt part may have caused.
+"""Count the crashes that a trait of requests may have caused.
 
-A part is suspected of a crash if an unproved request with it was on the
+A trait is suspected of a crash if an unproved request with it was on the
 crashed endpoint.  It is cleared if a request with it is answered later, since a
-deadly part crashes each endpoint that begins to answer.
+deadly trait crashes each endpoint that begins to answer.
 """
 
 from collections import OrderedDict
@@ -16,45 +16,42 @@
     ReportedCrash,
     ReportedProof,
 )
-from baobabwharf_decisions.proxying.prompt_cache import Prompt
+from baobabwharf_decisions.proxying.request_traits import Traits
 
-# A deadly part that is asked for less often than this does little harm.
+# A deadly trait that is asked for less often than this does little harm.
 EVIDENCE_WINDOW_MS = 60_000
 # Losing a zone or link takes many endpoints at once; VMs notice within a round
 # trip between regions and a scheduling delay.
 SIMULTANEOUS_MS = 250
-# The same for parts that were not answered lately, of which few requests run at
+# The same for traits that were not answered lately, of which few requests run at
 # once: the time to notice a reset plus the delay of a report.
 SIMULTANEOUS_NEW_MS = 120
-# How long and for how many parts a VM remembers that they were answered.
+# How long and for how many traits a VM remembers that they were answered.
 _PROOF_RETENTION_MS = 600_000
-_MAX_PROVED_PARTS = 4096
+_MAX_PROVED_TRAITS = 4096
 _MAX_CRASHES = 64
-_MAX_PARTS_OF_CRASH = 128
+_MAX_TRAITS_OF_CRASH = 128
 # The caps on what is reported keep a report in one datagram.
 _REPORTED_CRASHES = 6
-_REPORTED_PARTS = 64
+_REPORTED_TRAITS = 64
 _REPORTED_PROOFS = 32
 
 
-def shared_part_ids(prompt: Prompt) -> list[str]:
-    """Return the parts that other prompts may hold: all except the last."""
-    return [part.part_id for part in prompt[:-1]]
-
-
 def _by_crashes(
-    part_ids: Iterable[str], keys_by_part: Mapping[str, Sized]
+    trait_ids: Iterable[str], keys_by_trait: Mapping[str, Sized]
 ) -> list[str]:
-    """Sort parts by the number of their crashes, most first."""
+    """Sort traits by the number of their crashes, most first."""
     return sorted(
-        part_ids, key=lambda part_id: len(keys_by_part[part_id]), reverse=True
+        trait_ids,
+        key=lambda trait_id: len(keys_by_trait[trait_id]),
+        reverse=True,
     )
 
 
 class _Crash(msgspec.Struct):
     at_ms: int
-    own_parts: dict[str, None]
-    parts: dict[str, None]
+    own_traits: dict[str, None]
+    traits: dict[str, None]
 
 
 @final
@@ -63,8 +60,8 @@
 
     def __init__(self) -> None:
         self._crashes: OrderedDict[CrashKey, _Crash] = OrderedDict()
-        self._keys_by_part: dict[str, dict[CrashKey, None]] = {}
-        # Own proofs of any part, the latest last.
+        self._keys_by_trait: dict[str, dict[CrashKey, None]] = {}
+        # Own proofs of any trait, the latest last.
         self._own_proof_ms: dict[str, int] = {}
         # Proofs by any VM, only of suspects.
         self._proof_ms: dict[str, int] = {}
@@ -72,56 +69,53 @@
     def add_own(
         self,
         key: CrashKey,
-        suspects: Sequence[Prompt],
+        suspects: Sequence[Traits],
         now_ms: int,
     ) -> bool:
         """Add a crash that this VM noticed; return whether it is news."""
-        part_ids = [
-            part_id
-            for prompt in suspects
-            for part_id in shared_part_ids(prompt)
-        ]
-        changed = self._add(key, part_ids, now_ms)
+        trait_ids = [trait_id for traits in suspects for trait_id in traits]
+        changed = self._add(key, trait_ids, now_ms)
         crash = self._crashes[key]
-        known = len(crash.own_parts)
-        crash.own_parts.update(
-            (part_id, None) for part_id in part_ids if part_id in crash.parts
+        known = len(crash.own_traits)
+        crash.own_traits.update(
+            (trait_id, None)
+            for trait_id in trait_ids
+            if trait_id in crash.traits
         )
-        return changed or len(crash.own_parts) > known
+        return changed or len(crash.own_traits) > known
 
     def add_reported(self, reported: ReportedCrash, now_ms: int) -> bool:
         """Add a crash that another VM noticed; return whether it is news."""
         if reported.age_ms > EVIDENCE_WINDOW_MS:
             return False
         key = (reported.endpoint_id, reported.incarnation)
-        return self._add(key, reported.part_ids, now_ms - reported.age_ms)
+        return self._add(key, reported.trait_ids, now_ms - reported.age_ms)
 
-    def note_proofs(self, prompt: Prompt, now_ms: int) -> bool:
-        """Clear all parts of a prompt; return whether a suspect is cleared."""
+    def note_proofs(self, traits: Traits, now_ms: int) -> bool:
+        """Clear traits that were answered; return whether one was suspected."""
         cleared = False
-        for part in prompt[:-1]:
-            part_id = part.part_id
-            self._own_proof_ms.pop(part_id, None)
-            self._own_proof_ms[part_id] = now_ms
-            if part_id in self._keys_by_part:
-                cleared = cleared or bool(self.unproved(part_id))
-                self._note_proof(part_id, now_ms)
-        while len(self._own_proof_ms) > _MAX_PROVED_PARTS:
+        for trait_id in traits:
+            self._own_proof_ms.pop(trait_id, None)
+            self._own_proof_ms[trait_id] = now_ms
+            if trait_id in self._keys_by_trait:
+                cleared = cleared or bool(self.unproved(trait_id))
+                self._note_proof(trait_id, now_ms)
+        while len(self._own_proof_ms) > _MAX_PROVED_TRAITS:
             self._own_proof_ms.pop(next(iter(self._own_proof_ms)))
         return cleared
 
-    def was_proved(self, part_id: str) -> bool:
+    def was_proved(self, trait_id: str) -> bool:
         """Return whether any VM proved a suspect lately."""
-        return part_id in self._proof_ms
+        return trait_id in self._proof_ms
 
-    def note_reported_proof(self, part_id: str, at_ms: int) -> None:
+    def note_reported_proof(self, trait_id: str, at_ms: int) -> None:
         """Clear a suspect that was proved on another VM."""
-        if part_id in self._keys_by_part:
-            self._note_proof(part_id, at_ms)
+        if trait_id in self._keys_by_trait:
+            self._note_proof(trait_id, at_ms)
 
     def suspects(self, key: CrashKey) -> Iterable[str]:
-        """Return the parts that were on the crashed endpoint."""
-        return tuple(self._crashes[key].parts)
+        """Return the traits that were on the crashed endpoint."""
+        return tuple(self._crashes[key].traits)
 
     def crash_ms(self, key: CrashKey) -> int:
         """Return when the crash was noticed first."""
@@ -136,32 +130,32 @@
         """Return the crashes held."""
         return tuple(self._crashes)
 
-    def unproved(self, part_id: str) -> list[CrashKey]:
-        """Return the crashes after the last proof of a part, oldest first."""
-        proved_ms = self._proof_ms.get(part_id)
+    def unproved(self, trait_id: str) -> list[CrashKey]:
+        """Return the crashes after the last proof of a trait, oldest first."""
+        proved_ms = self._proof_ms.get(trait_id)
         keys = [
             key
-            for key in self._keys_by_part.get(part_id, ())
+            for key in self._keys_by_trait.get(trait_id, ())
             if proved_ms is None or self._crashes[key].at_ms > proved_ms
         ]
         return sorted(keys, key=lambda key: (self._crashes[key].at_ms, key))
 
     def counted(
         self,
-        part_id: str,
+        trait_id: str,
         explained: Container[CrashKey],
         freed_ms: int | None,
     ) -> list[CrashKey]:
-        """Return the crashes that count against a part, oldest first.
+        """Return the crashes that count against a trait, oldest first.
 
-        Those before the part was freed are ignored, and those at about the same
+        Those before the trait was freed are ignored, and those at about the same
         time count as one.
         """
         counted: list[CrashKey] = []
         group_ms: int | None = None
-        is_proved = self.was_proved(part_id)
+        is_proved = self.was_proved(trait_id)
         gap_ms = SIMULTANEOUS_MS if is_proved else SIMULTANEOUS_NEW_MS
-        for key in self.unproved(part_id):
+        for key in self.unproved(trait_id):
             at_ms = self._crashes[key].at_ms
             is_old = freed_ms is not None and at_ms <= freed_ms
             if is_old or key in explained:
@@ -172,30 +166,30 @@
         return counted
 
     def reported_crashes(self, now_ms: int) -> tuple[ReportedCrash, ...]:
-        """Return this VM's crashes, without parts that were cleared since."""
+        """Return this VM's crashes, without traits that were cleared since."""
         reported: list[ReportedCrash] = []
-        parts_left = _REPORTED_PARTS
+        traits_left = _REPORTED_TRAITS
         for key, crash in reversed(self._crashes.items()):
             unproved = [
-                part_id
-                for part_id in crash.own_parts
-                if self._proof_ms.get(part_id, crash.at_ms - 1) < crash.at_ms
+                trait_id
+                for trait_id in crash.own_traits
+                if self._proof_ms.get(trait_id, crash.at_ms - 1) < crash.at_ms
             ]
-            by_crashes = _by_crashes(unproved, self._keys_by_part)
-            part_ids = by_crashes[:parts_left]
-            if part_ids and len(reported) < _REPORTED_CRASHES:
-                parts_left -= len(part_ids)
+            by_crashes = _by_crashes(unproved, self._keys_by_trait)
+            trait_ids = by_crashes[:traits_left]
+            if trait_ids and len(reported) < _REPORTED_CRASHES:
+                traits_left -= len(trait_ids)
                 age_ms = now_ms - crash.at_ms
-                reported.append(ReportedCrash(*key, age_ms, tuple(part_ids)))
+                reported.append(ReportedCrash(*key, age_ms, tuple(trait_ids)))
         return tuple(reported)
 
     def reported_proofs(self, now_ms: int) -> tuple[ReportedProof, ...]:
-        """Return this VM's proofs, those of parts in most crashes first."""
-        suspects = self._own_proof_ms.keys() & self._keys_by_part.keys()
-        part_ids = _by_crashes(sorted(suspects), self._keys_by_part)
+        """Return this VM's proofs, those of traits in most crashes first."""
+        suspects = self._own_proof_ms.keys() & self._keys_by_trait.keys()
+        trait_ids = _by_crashes(sorted(suspects), self._keys_by_trait)
         return tuple(
-            ReportedProof(part_id, now_ms - self._own_proof_ms[part_id])
-            for part_id in part_ids[:_REPORTED_PROOFS]
+            ReportedProof(trait_id, now_ms - self._own_proof_ms[trait_id])
+            for trait_id in trait_ids[:_REPORTED_PROOFS]
         )
 
     def drop_expired(self, now_ms: int) -> None:
@@ -205,12 +199,12 @@
                 self._drop(key)
         oldest_ms = now_ms - _PROOF_RETENTION_MS
         while self._own_proof_ms:
-            part_id = next(iter(self._own_proof_ms))
-            if self._own_proof_ms[part_id] > oldest_ms:
+            trait_id = next(iter(self._own_proof_ms))
+            if self._own_proof_ms[trait_id] > oldest_ms:
                 break
-            self._own_proof_ms.pop(part_id)
+            self._own_proof_ms.pop(trait_id)
 
-    def _add(self, key: CrashKey, part_ids: Iterable[str], at_ms: int) -> bool:
+    def _add(self, key: CrashKey, trait_ids: Iterable[str], at_ms: int) -> bool:
         changed = key not in self._crashes
         if changed:
             if len(self._crashes) >= _MAX_CRASHES:
@@ -218,25 +212,27 @@
             self._crashes[key] = _Crash(at_ms, {}, {})
         crash = self._crashes[key]
         crash.at_ms = min(crash.at_ms, at_ms)
-        for part_id in part_ids:
-            if part_id in crash.parts:
+        for trait_id in trait_ids:
+            if trait_id in crash.traits:
                 continue
-            if len(crash.parts) < _MAX_PARTS_OF_CRASH:
-                crash.parts[part_id] = None
+            if len(crash.traits) < _MAX_TRAITS_OF_CRASH:
+                crash.traits[trait_id] = None
                 changed = True
-                self._keys_by_part.setdefault(part_id, {})[key] = None
-                proved_ms = self._own_proof_ms.get(part_id)
+                self._keys_by_trait.setdefault(trait_id, {})[key] = None
+                proved_ms = self._own_proof_ms.get(trait_id)
                 if proved_ms is not None:
-                    self._note_proof(part_id, proved_ms)
+                    self._note_proof(trait_id, proved_ms)
         return changed
 
-    def _note_proof(self, part_id: str, at_ms: int) -> None:
-        self._proof_ms[part_id] = max(at_ms, self._proof_ms.get(part_id, at_ms))
+    def _note_proof(self, trait_id: str, at_ms: int) -> None:
+        self._proof_ms[trait_id] = max(
+            at_ms, self._proof_ms.get(trait_id, at_ms)
+        )
 
     def _drop(self, key: CrashKey) -> None:
-        for part_id in self._crashes.pop(key).parts:
-            keys = self._keys_by_part[part_id]
+        for trait_id in self._crashes.pop(key).traits:
+            keys = self._keys_by_trait[trait_id]
             keys.pop(key)
             if not keys:
-                self._keys_by_part.pop(part_id)
-                self._proof_ms.pop(part_id, None)
+                self._keys_by_trait.pop(trait_id)
+                self._proof_ms.pop(trait_id, None)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_report.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_report.py
@@ -1,4 +1,4 @@
-"""Describe evidence about prompt parts that crash endpoints.
+"""Describe evidence about traits of requests that crash endpoints.
 
 Reports hold ages instead of times, since the clocks of VMs differ.
 """
@@ -10,29 +10,29 @@
 
 
 class ReportedCrash(msgspec.Struct, frozen=True, array_like=True):
-    """Name a crashed endpoint and the unproved parts that were on it."""
+    """Name a crashed endpoint and the unproved traits that were on it."""
 
     endpoint_id: EndpointId
     incarnation: int
     age_ms: int
-    part_ids: tuple[str, ...]
+    trait_ids: tuple[str, ...]
 
 
 class ReportedProof(msgspec.Struct, frozen=True, array_like=True):
-    """Tell when an answer to a prompt with this part last went on."""
+    """Tell when an answer to a request with this trait last went on."""
 
-    part_id: str
+    trait_id: str
     age_ms: int
 
 
 class ReportedQuarantine(msgspec.Struct, frozen=True, array_like=True):
-    """Describe the quarantine of a part.
+    """Describe the quarantine of a trait.
 
-    An episode ends when a proof frees the part; the next quarantine of the part
+    An episode ends when a proof frees the trait; the next quarantine of the trait
     has a higher episode.
     """
 
-    part_id: str
+    trait_id: str
     episode: int
     crashes: tuple[CrashKey, ...]
     age_ms: int
@@ -43,9 +43,9 @@
 
 
 class ReportedProbe(msgspec.Struct, frozen=True, array_like=True):
-    """Announce the trial of a quarantined part; the order tells which one."""
+    """Announce the trial of a quarantined trait; the order tells which one."""
 
-    part_id: str
+    trait_id: str
     order: tuple[int, int]
     age_ms: int
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/part_quarantine.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/trait_quarantine.py
@@ -1,7 +1,7 @@
-"""Hold prompt parts in quarantine and try them again after a time.
+"""Hold traits of requests in quarantine and try them again after a time.
 
 All VMs share the quarantines.  Merging two copies keeps the later episode;
-within an episode it joins the crashes, and a part that was freed stays free, so
+within an episode it joins the crashes, and a trait that was freed stays free, so
 that reports may be lost, repeated and reordered.
 """
 
@@ -15,16 +15,16 @@
     ReportedQuarantine,
 )
 
-# Crashes in which a part has to be suspected before it is quarantined: a part
+# Crashes in which a trait has to be suspected before it is quarantined: a trait
 # that was answered lately is more likely one that came along.
 BLAME_NEW_CRASHES = 2
 BLAME_PROVED_CRASHES = 3
 # The wait before the first trial; each further crash doubles it.
 _FIRST_HOLD_MS = 30_000
-# The wait for a part that is blamed beside a more likely one.
+# The wait for a trait that is blamed beside a more likely one.
 _DOUBTFUL_HOLD_MS = 2000
 _MAX_HOLD_MS = 600_000
-# Crashes after which a part that was freed is blamed sooner.
+# Crashes after which a trait that was freed is blamed sooner.
 _WATCH_MS = 600_000
 # A quarantine that nobody tries ends this long after its hold.
 _UNTRIED_MS = 600_000
@@ -38,9 +38,9 @@
 
 
 class Quarantine(msgspec.Struct):
-    """Hold one episode of a part; times are of the local clock."""
+    """Hold one episode of a trait; times are of the local clock."""
 
-    part_id: str
+    trait_id: str
     episode: int
     crashes: dict[CrashKey, None]
     blamed_ms: int
@@ -52,7 +52,7 @@
 
     @property
     def is_active(self) -> bool:
-        """Return whether requests with the part are refused."""
+        """Return whether requests with the trait are refused."""
         return self.freed_ms is None
 
     @property
@@ -62,12 +62,12 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Return which hold of the part this is."""
+        """Return which hold of the trait this is."""
         return (self.episode, self.strikes)
 
     @property
     def due_ms(self) -> int:
-        """Return when the part may be tried again."""
+        """Return when the trait may be tried again."""
         if self.is_doubtful and self.strikes == 1:
             return self.blamed_ms + _DOUBTFUL_HOLD_MS
         hold_ms = _FIRST_HOLD_MS << (self.strikes - 1)
@@ -83,7 +83,7 @@
 
 @final
 class QuarantineTable:
-    """Hold the quarantines of all parts, by their ids."""
+    """Hold the quarantines of all traits, by their ids."""
 
     def __init__(self) -> None:
         self._entries: dict[str, Quarantine] = {}
@@ -91,41 +91,41 @@
 
     @property
     def has_active(self) -> bool:
-        """Return whether any part is refused."""
+        """Return whether any trait is refused."""
         return self._active_count > 0
 
-    def active(self, part_id: str) -> Quarantine | None:
-        """Return the quarantine of a part that is refused."""
-        entry = self._entries.get(part_id)
+    def active(self, trait_id: str) -> Quarantine | None:
+        """Return the quarantine of a trait that is refused."""
+        entry = self._entries.get(trait_id)
         return entry if entry is not None and entry.is_active else None
 
-    def active_of(self, part_ids: Iterable[str]) -> list[Quarantine]:
-        """Return the quarantines of those parts that are refused."""
-        entries = (self.active(part_id) for part_id in part_ids)
+    def active_of(self, trait_ids: Iterable[str]) -> list[Quarantine]:
+        """Return the quarantines of those traits that are refused."""
+        entries = (self.active(trait_id) for trait_id in trait_ids)
         return [entry for entry in entries if entry is not None]
 
-    def find(self, part_id: str) -> Quarantine | None:
-        """Return the last quarantine of a part."""
-        return self._entries.get(part_id)
+    def find(self, trait_id: str) -> Quarantine | None:
+        """Return the last quarantine of a trait."""
+        return self._entries.get(trait_id)
 
     def entries(self) -> Iterator[Quarantine]:
         """Iterate over all quarantines."""
         return iter(self._entries.values())
 
-    def is_watched(self, part_id: str) -> bool:
-        """Return whether the next crash quarantines a part that was freed."""
-        entry = self._entries.get(part_id)
+    def is_watched(self, trait_id: str) -> bool:
+        """Return whether the next crash quarantines a trait that was freed."""
+        entry = self._entries.get(trait_id)
         return entry is not None and not entry.is_active and entry.is_watched
 
     def blame(
         self,
-        part_id: str,
+        trait_id: str,
         crashes: Iterable[CrashKey],
         at_ms: int,
         is_doubtful: bool,
     ) -> None:
-        """Begin the next episode of a part; a watched one keeps its strikes."""
-        before = self._entries.get(part_id)
+        """Begin the next episode of a trait; a watched one keeps its strikes."""
+        before = self._entries.get(trait_id)
         listed = dict.fromkeys(crashes)
         episode = 1
         first_crashes = len(listed)
@@ -134,8 +134,8 @@
             if before.is_watched:
                 first_crashes = before.first_crashes
                 listed = {**before.crashes, **listed}
-        self._entries[part_id] = Quarantine(
-            part_id,
+        self._entries[trait_id] = Quarantine(
+            trait_id,
             episode,
             _newest(listed),
             at_ms,
@@ -153,7 +153,7 @@
         return True
 
     def free(self, entry: Quarantine, at_ms: int) -> None:
-        """End the episode; a part that was tried after a long hold is watched."""
+        """End the episode; a trait that was tried after a long hold is watched."""
         entry.freed_ms = at_ms
         entry.is_watched = entry.strikes > 1 or (
             at_ms >= entry.due_ms and not entry.is_doubtful
@@ -161,9 +161,9 @@
         self._recount()
 
     def doubt_explained(self) -> bool:
-        """Shorten the hold of parts that came with one of more crashes.
+        """Shorten the hold of traits that came with one of more crashes.
 
-        They are tried, not freed: an innocent part may come with each request
+        They are tried, not freed: an innocent trait may come with each request
         that holds a deadly one.
         """
         active = [entry for entry in self.entries() if entry.is_active]
@@ -180,12 +180,12 @@
         return bool(explained)
 
     def merge(self, reported: ReportedQuarantine, now_ms: int) -> None:
-        """Take over what another VM knows of a part."""
+        """Take over what another VM knows of a trait."""
         entry = _from_report(reported, now_ms)
-        known = self._entries.get(entry.part_id)
+        known = self._entries.get(entry.trait_id)
         if known is None or entry.episode > known.episode:
             if entry.expires_ms - now_ms > _EXPIRY_MARGIN_MS:
-                self._entries[entry.part_id] = entry
+                self._entries[entry.trait_id] = entry
         elif entry.episode == known.episode:
             _join(known, entry)
         self._evict()
@@ -199,7 +199,7 @@
         )
         return tuple(
             ReportedQuarantine(
-                entry.part_id,
+                entry.trait_id,
                 entry.episode,
                 tuple(entry.crashes),
                 now_ms - entry.blamed_ms,
@@ -215,7 +215,7 @@
         """Forget entries that nobody needs any more."""
         for entry in tuple(self._entries.values()):
             if entry.expires_ms <= now_ms:
-                self._entries.pop(entry.part_id)
+                self._entries.pop(entry.trait_id)
         self._recount()
 
     def _evict(self) -> None:
@@ -224,7 +224,7 @@
                 self._entries.values(),
                 key=lambda entry: (entry.is_active, entry.blamed_ms),
             )
-            self._entries.pop(oldest.part_id)
+            self._entries.pop(oldest.trait_id)
         self._recount()
 
     def _recount(self) -> None:
@@ -240,7 +240,7 @@
 def _from_report(reported: ReportedQuarantine, now_ms: int) -> Quarantine:
     freed_age_ms = reported.freed_age_ms
     return Quarantine(
-        reported.part_id,
+        reported.trait_id,
         reported.episode,
         dict.fromkeys(
             (endpoint_id, incarnation)
--- a/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
+++ b/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
@@ -12,6 +12,10 @@
 )
 from baobabwharf_decisions.proxying.crash_report import CrashReport
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptPart
+from baobabwharf_decisions.proxying.request_traits import (
+    Traits,
+    request_traits,
+)
 
 from baobabwharf_testkit.crash_blame_plan import BlameOutcome, BlamePlan
 from baobabwharf_testkit.limits_fleet import vm_regions
@@ -33,6 +37,10 @@
     vm_id: str
     is_proved: bool = False
 
+    @property
+    def traits(self) -> Traits:
+        return request_traits(self.prompt)
+
 
 @final
 class _Endpoint:
@@ -161,21 +169,21 @@
         vm_id = self._rng.choice(tuple(self.cores))
         core = self.cores[vm_id]
         deadly = self.plan.deadly_part(prompt, self.now_ms)
-        verdict = core.verdict(prompt, self.vm_ms(vm_id))
+        verdict = core.verdict(request_traits(prompt), self.vm_ms(vm_id))
         outcome = self.outcome
         outcome.sound += deadly is None
         if verdict.action is VerdictAction.REFUSE:
             if deadly is None:
                 outcome.wrongly_refused += 1
-                outcome.wrongly_refused_parts[str(verdict.part_id)] += 1
+                outcome.wrongly_refused_parts[str(verdict.trait_id)] += 1
                 outcome.last_wrong_refusal_ms = self.now_ms
             return
         up = [endpoint for endpoint in self._endpoints if endpoint.is_up]
         if not up:
             return
-        if verdict.part_id is not None:
-            core.note_probe(verdict.part_id, self.vm_ms(vm_id))
-            outcome.probes_ms.setdefault(verdict.part_id, []).append(
+        if verdict.trait_id is not None:
+            core.note_probe(verdict.trait_id, self.vm_ms(vm_id))
+            outcome.probes_ms.setdefault(verdict.trait_id, []).append(
                 self.now_ms
             )
         for part in prompt[:-1]:
@@ -316,7 +324,7 @@
             vm_id = self.request.vm_id
             self.request.is_proved = True
             self.fleet.cores[vm_id].note_answer(
-                self.request.prompt, self.fleet.vm_ms(vm_id)
+                self.request.traits, self.fleet.vm_ms(vm_id)
             )
             self.fleet.outcome.served += 1
             delay_us = self.fleet.simulation.rng.randrange(2 * _S)
@@ -340,7 +348,7 @@
         self.fleet.cores[request.vm_id].note_crash(
             self.endpoint.endpoint_id,
             self.incarnation,
-            () if request.is_proved else (request.prompt,),
+            () if request.is_proved else (request.traits,),
             self.fleet.vm_ms(request.vm_id),
         )
         self.fleet.note_named()
