Blame whole requests for crashes, with or without a prompt

A request that crashes each endpoint that begins to run it went on crashing them if it had no prompt, or if no shared part of its prompt was to blame: only shared prompt parts were suspected. Class: evidence was kept for one kind of trait only. A request now has one more trait, the digest of its caller, method, host, target and body, which goes with it when it is forwarded. Evidence, quarantine and trials are the same for all traits. Of equally suspected traits a whole request is refused first: refusing it alone costs less.

Ruled out: counting a request's second attempt as a crash of its own within 120 ms. A lost zone looks the same.

--- a/features/steps/crash_blame.py
+++ b/features/steps/crash_blame.py
@@ -9,8 +9,10 @@
 from baobabwharf_decisions.proxying.crash_report import CrashReport
 from baobabwharf_decisions.proxying.prompt_cache import PromptPart
 from baobabwharf_decisions.proxying.request_traits import (
+    TraitId,
     Traits,
     request_traits,
+    whole_request_trait,
 )
 from baobabwharf_testkit.crash_blame_plan import BlamePlan
 from baobabwharf_testkit.crash_blame_simulation import BlameFleet
@@ -21,6 +23,7 @@
 # and sent again; a part of VMs loses that one too.
 _EXCHANGE_MS = 55 + 20 + 2 * 500
 
+_WHOLE = ((':bad-0', 2, 1e6),)
 _DEADLY_PLANS = {
     '6 VMs': BlamePlan(),
     '2 VMs': BlamePlan(vms=2, endpoints=4),
@@ -38,6 +41,49 @@
     'a part that stops and comes back': BlamePlan(
         seconds=120, spells=(('bad-0', 2, 25), ('bad-0', 80, 1e6))
     ),
+    'a request with a prompt': BlamePlan(spells=_WHOLE),
+    'a read': BlamePlan(endpoints=3, is_plain=True, spells=_WHOLE),
+    'a read that is retried': BlamePlan(
+        endpoints=3, is_plain=True, spells=_WHOLE, deadly_resends=1
+    ),
+    'a read on 40 VMs': BlamePlan(
+        vms=40,
+        endpoints=6,
+        is_plain=True,
+        spells=_WHOLE,
+        sound_per_s=60,
+        seconds=12,
+    ),
+    'a read and one endpoint': BlamePlan(
+        endpoints=1, is_plain=True, spells=_WHOLE, seconds=40
+    ),
+    'a read while endpoints crash': BlamePlan(
+        endpoints=3,
+        is_plain=True,
+        spells=_WHOLE,
+        other_crashes=((3, 1), (5, 1), (8, 1), (11, 1)),
+    ),
+    'a read, reports in disorder': BlamePlan(
+        endpoints=3, is_plain=True, spells=_WHOLE, disorder=0.05
+    ),
+    'a read, a VM restarts': BlamePlan(
+        endpoints=3, is_plain=True, spells=_WHOLE, restarted_vm_at=4
+    ),
+    'two reads': BlamePlan(
+        endpoints=3,
+        is_plain=True,
+        spells=((':bad-0', 2, 1e6), (':bad-1', 2.5, 1e6)),
+    ),
+    'a request beside a part': BlamePlan(
+        spells=((':bad-0', 2, 1e6), ('bad-1', 2.5, 1e6))
+    ),
+    'single plain endpoints crash': BlamePlan(
+        endpoints=3,
+        is_plain=True,
+        spells=(),
+        sound_per_s=40,
+        other_crashes=tuple((at_s, 1) for at_s in (3, 6, 9, 12, 13)),
+    ),
     'single endpoints crash': BlamePlan(
         spells=(),
         sound_per_s=40,
@@ -52,10 +98,11 @@
 
 
 def traits_of(names: str, last: str = 'last') -> Traits:
+    """Return the parts named, and the whole request if a name starts with ':'."""
     parts = [name for name in names.split('/') if name]
-    return request_traits(
-        tuple(PromptPart(name, 100) for name in (*parts, last))
-    )
+    whole = parts.pop() if parts and parts[-1].startswith(':') else None
+    prompt = tuple(PromptPart(name, 100) for name in (*parts, last))
+    return request_traits(prompt, None if whole is None else TraitId(whole))
 
 
 class BlameSubject:
@@ -422,3 +469,38 @@
         if again:
             late = outcome.sends_after(part_id, again[0] + _EXCHANGE_MS)
             assert not late, (seed, again, late)
+
+
+# The users' bounds on a deadly request: the time to react to its third crash,
+# and how often it may reach endpoints after that.
+_CONTACT_MS = 5000
+_MAX_LATE_SENDS = 3
+
+
+@then('no deadly request reaches more endpoints than the users allow')
+def few_late_sends(context: Context) -> None:
+    for seed, _fleet, outcome in context.runs:
+        for trait_id, crash_ms in outcome.crash_ms.items():
+            if len(crash_ms) < 3:
+                continue
+            late = [
+                sent_ms
+                for sent_ms in outcome.sends_ms[trait_id]
+                if sent_ms > crash_ms[2] + _CONTACT_MS
+            ]
+            assert len(late) <= _MAX_LATE_SENDS, (seed, trait_id, late)
+
+
+@then('a request is the same for the same caller, target and body only')
+def same_request(context: Context) -> None:
+    fields = ('c', b'GET', 'h', b'/a?b', b'body')
+    first = whole_request_trait(*fields)
+    assert first == whole_request_trait(*fields)
+    others = {
+        whole_request_trait(*fields[:index], each, *fields[index + 1 :])
+        for index, each in enumerate(('d', b'PUT', 'i', b'/a?c', b'bodz'))
+    }
+    # Where one field ends and the next begins matters, too.
+    others.add(whole_request_trait('cG', b'ET', *fields[2:]))
+    others.add(whole_request_trait('c', b'GET', 'h', b'/a?bbo', b'dy'))
+    assert len(others | {first}) == 8, others
--- a/features/unit/crash_blame.feature
+++ b/features/unit/crash_blame.feature
@@ -1,6 +1,6 @@
-Feature: Blame of prompt parts that crash endpoints
-  Guards against a part that crashes one endpoint after another, and against
-  refusing sound requests that share other parts with it.
+Feature: Blame of requests and prompt parts that crash endpoints
+  Guards against a request or a part of a prompt that crashes one endpoint after
+  another, and against refusing sound requests that share other parts with it.
 
   Scenario: A part that was in two crashes is refused, and no other
     Given a VM that looks for deadly parts
@@ -14,6 +14,35 @@
     When endpoints crash at 1000, 3000, 5000 and 7000 with only the last part
     Then all prompts are allowed at 7001
 
+  Scenario: A request without a prompt that was in two crashes is refused
+    Given a VM that looks for deadly parts
+    When endpoint a crashes at 1000 with prompts :read,:other
+    And endpoint b crashes at 3000 with prompts :read
+    Then prompt :read is refused at 3001 for 29999 ms because of :read
+    And prompt :other is allowed at 3001
+
+  Scenario: A request is refused before the parts that came with it
+    Given a VM that looks for deadly parts
+    When endpoint a crashes at 1000 with prompts tool/:one
+    And endpoint b crashes at 3000 with prompts tool/:one
+    Then prompt tool/:one is refused at 3001 for 29999 ms because of :one
+    And prompt tool/:two is allowed at 3001
+    When endpoint c crashes at 5000 with prompts tool/:two
+    Then prompt tool/:three is refused at 5001 for 29999 ms because of tool
+
+  Scenario: A read that is answered everywhere is not refused for crashes
+    Given a VM that looks for deadly parts
+    When endpoint a crashes at 1000 with prompts :view
+    And an answer to prompt :view goes on at 2000
+    And endpoint b crashes at 3000 with prompts :view
+    And an answer to prompt :view goes on at 4000
+    And endpoint c crashes at 5000 with prompts :view
+    And endpoint d crashes at 7000 with prompts :view
+    Then prompt :view is allowed at 7001
+
+  Scenario: A request is recognized by its caller, target and body
+    Then a request is the same for the same caller, target and body only
+
   Scenario: An answer clears a part of the crashes before it
     Given a VM that looks for deadly parts
     When endpoint a crashes at 1000 with prompts tool
@@ -167,6 +196,26 @@
     Then each deadly part is named within 5 crashes
     And no VM sends it once all could know
 
+  Scenario Outline: The fleet stops a deadly request: <load>
+    When <count> fleets with deadly parts run: <load>
+    Then each deadly part is named within 5 crashes
+    And no VM sends it once all could know
+    And no deadly request reaches more endpoints than the users allow
+    And at most 10 in 1000 sound requests are refused
+
+    Examples:
+      | load                         | count |
+      | a request with a prompt      | 50    |
+      | a request beside a part      | 50    |
+      | a read                       | 50    |
+      | a read that is retried       | 50    |
+      | a read on 40 VMs             | 10    |
+      | a read and one endpoint      | 20    |
+      | a read while endpoints crash | 50    |
+      | a read, reports in disorder  | 50    |
+      | a read, a VM restarts        | 50    |
+      | two reads                    | 50    |
+
   Scenario: Two deadly parts get few sound requests refused
     When 50 fleets with deadly parts run: two deadly parts
     Then at most 10 in 1000 sound requests are refused
@@ -179,6 +228,7 @@
     Examples:
       | load                   |
       | single endpoints crash |
+      | single plain endpoints crash |
       | zones are lost         |
 
   Scenario: A deadly part that stops is freed and named again when it comes back
--- a/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
@@ -94,8 +94,6 @@
         record = attempt.destination.record
         if record is None or not attempt.crash_suspected:
             return
-        if not metadata.traits:
-            return
         CRASH_EVIDENCE.inc({'source': 'own'})
         self._log.record(
             'crash_suspected',
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -16,6 +16,10 @@
 )
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from baobabwharf_core.requests import Reservation
+from baobabwharf_decisions.proxying.request_traits import (
+    TraitId,
+    whole_request_trait,
+)
 from baobabwharf_decisions.proxying.routes import (
     RouteTable,
     allowed_regions,
@@ -39,7 +43,11 @@
     RETRY_HEADER,
 )
 from baobabwharf_daemon.proxy.http_call import HttpCall
-from baobabwharf_daemon.proxy.http_messages import Header, RequestMetadata
+from baobabwharf_daemon.proxy.http_messages import (
+    Header,
+    HttpRequest,
+    RequestMetadata,
+)
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
 from baobabwharf_daemon.proxy.request_handler import RequestHandler
 from baobabwharf_daemon.proxy.request_plan import (
@@ -91,7 +99,7 @@
         if metadata is None:
             self._refuse(call, None, Refusal(RefusalCode.INVALID_REQUEST))
             return
-        prepared = self._prepare(metadata)
+        prepared = self._prepare(metadata, call.request)
         if prepared.is_error():
             self._refuse(call, metadata, prepared.error)
             return
@@ -184,7 +192,9 @@
             refusal = Refusal(RefusalCode.RATE_EXCEEDED, detail=refusal.detail)
         return Error(refusal)
 
-    def _prepare(self, metadata: RequestMetadata) -> PreparationResult:
+    def _prepare(
+        self, metadata: RequestMetadata, request: HttpRequest
+    ) -> PreparationResult:
         table = self._route_table()
         if table is None:
             return Error(Refusal(RefusalCode.VM_NOT_READY, retry_after_ms=500))
@@ -195,7 +205,15 @@
         if customer.is_error():
             return Error(customer.error)
         service = table.service(choose_service(route.ok, metadata.request_id))
-        plan = self._plan(metadata, route.ok, customer.ok, service)
+        caller = '' if customer.ok is None else customer.ok.customer_id
+        whole = whole_request_trait(
+            caller,
+            request.method,
+            metadata.host,
+            request.target,
+            request.body,
+        )
+        plan = self._plan(metadata, route.ok, customer.ok, service, whole)
         default_tokens = 1 if customer.ok is None else customer.ok.plain_tokens
         tokens = default_tokens if metadata.tokens is None else metadata.tokens
         return Ok(PreparedRequest(plan, service, customer.ok, max(1, tokens)))
@@ -206,6 +224,7 @@
         route: DeployedRoute,
         customer: DeployedCustomer | None,
         service: DeployedService,
+        whole: TraitId,
     ) -> RequestPlan:
         time_left_ms = route.timeout_ms
         if metadata.time_left_ms is not None:
@@ -229,6 +248,7 @@
             None if homes is None else tuple(sorted(homes)),
             metadata.prompt,
             metadata.resume_after,
+            whole,
         )
         return build_plan(
             forward, self._context.clock.now_ms(), forwarded=False
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
@@ -6,6 +6,7 @@
 from baobabwharf_decisions.proxying.attempt_outcomes import AttemptCounts
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
 from baobabwharf_decisions.proxying.request_traits import (
+    TraitId,
     Traits,
     request_traits,
 )
@@ -33,11 +34,12 @@
     homes: tuple[RegionId, ...] | None
     prompt: Prompt = ()
     resume_after: int | None = None
+    whole_trait: TraitId | None = None
 
     @property
     def traits(self) -> Traits:
         """Return what the request is recognized by if it crashes endpoints."""
-        return request_traits(self.prompt)
+        return request_traits(self.prompt, self.whole_trait)
 
     @property
     def part_ids(self) -> list[str]:
--- a/packages/decisions/src/baobabwharf_decisions/proxying/blame_decision.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/blame_decision.py
@@ -12,6 +12,7 @@
     CrashEvidence,
 )
 from baobabwharf_decisions.proxying.crash_report import CrashKey
+from baobabwharf_decisions.proxying.request_traits import is_whole_request
 from baobabwharf_decisions.proxying.trait_probes import TraitProbes
 from baobabwharf_decisions.proxying.trait_quarantine import (
     BLAME_NEW_CRASHES,
@@ -87,7 +88,14 @@
             if len(crashes) >= self._crashes_to_blame(trait_id):
                 counted[trait_id] = crashes
         most = max((len(crashes) for crashes in counted.values()), default=0)
-        blamed = [each for each in counted if len(counted[each]) == most]
+        most_suspected = [
+            each for each in counted if len(counted[each]) == most
+        ]
+        # Of equals a single request goes first: to refuse it alone costs less
+        # than to refuse all requests that share a part.
+        blamed = [
+            each for each in most_suspected if is_whole_request(each)
+        ] or most_suspected
         for trait_id in blamed:
             self._blame(trait_id, counted[trait_id], len(blamed) > 1)
         return bool(blamed)
@@ -100,7 +108,7 @@
         crashes = self._evidence.counted(trait_id, (), freed_ms)
         if len(crashes) < self._crashes_to_blame(trait_id):
             return []
-        explained = self._explained_crashes(len(crashes))
+        explained = self._explained_crashes(trait_id, len(crashes))
         return self._evidence.counted(trait_id, explained, freed_ms)
 
     def _blame(
@@ -120,14 +128,19 @@
             return BLAME_PROVED_CRASHES
         return BLAME_NEW_CRASHES
 
-    def _explained_crashes(self, count: int) -> set[CrashKey]:
+    def _explained_crashes(self, trait_id: str, count: int) -> set[CrashKey]:
         """Return the crashes with a refused trait that was in more of them.
 
         One with fewer or as many may be blamed only since it was noticed first.
+        A refused request explains as many crashes of a part, too.
         """
+        is_shared = not is_whole_request(trait_id)
         explained: set[CrashKey] = set()
         for entry in self._quarantines.entries():
-            if entry.is_active and len(entry.crashes) > count:
+            most = len(entry.crashes)
+            if is_shared and is_whole_request(entry.trait_id):
+                most += 1
+            if entry.is_active and most > count:
                 explained.update(entry.crashes)
                 explained.update(self._evidence.unproved(entry.trait_id))
         return explained
--- a/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/crash_evidence.py
@@ -17,6 +17,7 @@
     ReportedProof,
 )
 from baobabwharf_decisions.proxying.request_traits import Traits
+from baobabwharf_decisions.proxying.trait_proofs import TraitProofs
 
 # A deadly trait that is asked for less often than this does little harm.
 EVIDENCE_WINDOW_MS = 60_000
@@ -26,9 +27,6 @@
 # The same for traits that were not answered lately, of which few requests run at
 # once: the time to notice a reset plus the delay of a report.
 SIMULTANEOUS_NEW_MS = 120
-# How long and for how many traits a VM remembers that they were answered.
-_PROOF_RETENTION_MS = 600_000
-_MAX_PROVED_TRAITS = 4096
 _MAX_CRASHES = 64
 _MAX_TRAITS_OF_CRASH = 128
 # The caps on what is reported keep a report in one datagram.
@@ -61,8 +59,7 @@
     def __init__(self) -> None:
         self._crashes: OrderedDict[CrashKey, _Crash] = OrderedDict()
         self._keys_by_trait: dict[str, dict[CrashKey, None]] = {}
-        # Own proofs of any trait, the latest last.
-        self._own_proof_ms: dict[str, int] = {}
+        self._own_proofs = TraitProofs()
         # Proofs by any VM, only of suspects.
         self._proof_ms: dict[str, int] = {}
 
@@ -95,13 +92,10 @@
         """Clear traits that were answered; return whether one was suspected."""
         cleared = False
         for trait_id in traits:
-            self._own_proof_ms.pop(trait_id, None)
-            self._own_proof_ms[trait_id] = now_ms
+            self._own_proofs.note(trait_id, now_ms)
             if trait_id in self._keys_by_trait:
                 cleared = cleared or bool(self.unproved(trait_id))
                 self._note_proof(trait_id, now_ms)
-        while len(self._own_proof_ms) > _MAX_PROVED_TRAITS:
-            self._own_proof_ms.pop(next(iter(self._own_proof_ms)))
         return cleared
 
     def was_proved(self, trait_id: str) -> bool:
@@ -185,10 +179,10 @@
 
     def reported_proofs(self, now_ms: int) -> tuple[ReportedProof, ...]:
         """Return this VM's proofs, those of traits in most crashes first."""
-        suspects = self._own_proof_ms.keys() & self._keys_by_trait.keys()
-        trait_ids = _by_crashes(sorted(suspects), self._keys_by_trait)
+        proved = self._own_proofs.of_suspects(self._keys_by_trait.keys())
+        trait_ids = _by_crashes(sorted(proved), self._keys_by_trait)
         return tuple(
-            ReportedProof(trait_id, now_ms - self._own_proof_ms[trait_id])
+            ReportedProof(trait_id, now_ms - proved[trait_id])
             for trait_id in trait_ids[:_REPORTED_PROOFS]
         )
 
@@ -197,12 +191,7 @@
         for key, crash in tuple(self._crashes.items()):
             if now_ms - crash.at_ms > EVIDENCE_WINDOW_MS:
                 self._drop(key)
-        oldest_ms = now_ms - _PROOF_RETENTION_MS
-        while self._own_proof_ms:
-            trait_id = next(iter(self._own_proof_ms))
-            if self._own_proof_ms[trait_id] > oldest_ms:
-                break
-            self._own_proof_ms.pop(trait_id)
+        self._own_proofs.drop_expired(now_ms)
 
     def _add(self, key: CrashKey, trait_ids: Iterable[str], at_ms: int) -> bool:
         changed = key not in self._crashes
@@ -219,7 +208,7 @@
                 crash.traits[trait_id] = None
                 changed = True
                 self._keys_by_trait.setdefault(trait_id, {})[key] = None
-                proved_ms = self._own_proof_ms.get(trait_id)
+                proved_ms = self._own_proofs.find_ms(trait_id)
                 if proved_ms is not None:
                     self._note_proof(trait_id, proved_ms)
         return changed
--- a/packages/testkit/src/baobabwharf_testkit/crash_blame_plan.py
+++ b/packages/testkit/src/baobabwharf_testkit/crash_blame_plan.py
@@ -1,9 +1,9 @@
-"""Describe and count the runs of the simulation of deadly prompt parts."""
+"""Describe and count the runs of the simulation of deadly requests."""
 
 from collections import Counter
 
 import msgspec
-from baobabwharf_decisions.proxying.prompt_cache import Prompt
+from baobabwharf_decisions.proxying.request_traits import Traits
 
 
 class BlamePlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -16,9 +16,13 @@
     # That a report is sent twice, and that it arrives up to 2 s late.
     disorder: float = 0
     sound_per_s: float = 20
-    # The spells of each deadly part: part, from, until.
+    # Requests to a plain service have no prompt and are answered sooner.
+    is_plain: bool = False
+    # The spells of each deadly trait: trait, from, until.
     spells: tuple[tuple[str, float, float], ...] = (('bad-0', 2, 1e6),)
     deadly_per_s: float = 2
+    # How often a VM sends a deadly request on to another endpoint at once.
+    deadly_resends: int = 0
     # A part that each request with a deadly part holds too.
     companion: str | None = None
     companion_sound_per_s: float = 0
@@ -27,13 +31,17 @@
     restarted_vm_at: float | None = None
     partitioned_vm: tuple[float, float] | None = None
 
-    def deadly_part(self, prompt: Prompt, now_ms: int) -> str | None:
-        """Return the part of a prompt that is deadly now."""
+    @property
+    def begin_ms(self) -> tuple[int, int]:
+        """Return how long endpoints take until they begin to answer."""
+        return (20, 120) if self.is_plain else (80, 500)
+
+    def deadly_trait(self, traits: Traits, now_ms: int) -> str | None:
+        """Return the trait of a request that is deadly now."""
         now_s = now_ms / 1000
-        for part in prompt[:-1]:
-            for part_id, start_s, end_s in self.spells:
-                if part.part_id == part_id and start_s <= now_s < end_s:
-                    return part_id
+        for trait_id, start_s, end_s in self.spells:
+            if trait_id in traits and start_s <= now_s < end_s:
+                return trait_id
         return None
 
     def is_partitioned(self, now_ms: int) -> bool:
--- a/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
+++ b/packages/testkit/src/baobabwharf_testkit/crash_blame_simulation.py
@@ -1,4 +1,4 @@
-"""Simulate VMs that look for the prompt parts that crash their endpoints."""
+"""Simulate VMs that look for the requests that crash their endpoints."""
 
 import sys
 from collections.abc import Callable
@@ -11,13 +11,10 @@
     VerdictAction,
 )
 from baobabwharf_decisions.proxying.crash_report import CrashReport
-from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptPart
-from baobabwharf_decisions.proxying.request_traits import (
-    Traits,
-    request_traits,
-)
+from baobabwharf_decisions.proxying.request_traits import Traits
 
 from baobabwharf_testkit.crash_blame_plan import BlameOutcome, BlamePlan
+from baobabwharf_testkit.crash_blame_requests import RequestSource
 from baobabwharf_testkit.limits_fleet import vm_regions
 from baobabwharf_testkit.limits_simulation import Simulation, VmClock
 
@@ -28,19 +25,13 @@
 _FAR_DELAY_US = 55 * _MS
 _EXCHANGE_MS = 20
 _RESEND_MS = 500
-_POPULAR_PARTS = 3
-_SESSIONS = 30
 
 
 class _Request(msgspec.Struct, eq=False):
-    prompt: Prompt
+    traits: Traits
     vm_id: str
     is_proved: bool = False
 
-    @property
-    def traits(self) -> Traits:
-        return request_traits(self.prompt)
-
 
 @final
 class _Endpoint:
@@ -69,7 +60,8 @@
         self._endpoints = [
             _Endpoint(f'endpoint-{index}') for index in range(plan.endpoints)
         ]
-        self._prompts = 0
+        self._source = RequestSource(plan, self._rng)
+        self._deadly_ids = {spell[0] for spell in plan.spells}
         self._schedule()
 
     @property
@@ -125,7 +117,7 @@
             _repeat(
                 self.simulation,
                 self.plan.deadly_per_s,
-                lambda: self._send_deadly(part_id),
+                lambda: self.send(self._source.deadly(part_id)),
             )
 
         return begin
@@ -144,32 +136,17 @@
         self._clocks[vm_id] = VmClock(0, self._rng.randrange(1, 1000) * _S)
 
     def _send_sound(self) -> None:
-        self.send(self._prompt((f'document-{self._rng.randrange(100)}',)))
+        self.send(self._source.sound())
 
     def _send_companion(self) -> None:
-        self.send(self._prompt((str(self.plan.companion),)))
-
-    def _send_deadly(self, part_id: str) -> None:
-        companion = self.plan.companion
-        before = () if companion is None else (companion,)
-        self.send(self._prompt((*before, part_id)))
-
-    def _prompt(self, middle: tuple[str, ...]) -> Prompt:
-        self._prompts += 1
-        names = (
-            f'popular-{self._rng.randrange(_POPULAR_PARTS)}',
-            f'session-{self._rng.randrange(_SESSIONS)}',
-            *middle,
-            f'last-{self._prompts}',
-        )
-        return tuple(PromptPart(name, 100) for name in names)
+        self.send(self._source.companion())
 
-    def send(self, prompt: Prompt, retries: int = 1) -> None:
-        """Ask a random VM to serve a prompt."""
+    def send(self, traits: Traits, retries: int = 1) -> None:
+        """Ask a random VM to serve a request."""
         vm_id = self._rng.choice(tuple(self.cores))
         core = self.cores[vm_id]
-        deadly = self.plan.deadly_part(prompt, self.now_ms)
-        verdict = core.verdict(request_traits(prompt), self.vm_ms(vm_id))
+        deadly = self.plan.deadly_trait(traits, self.now_ms)
+        verdict = core.verdict(traits, self.vm_ms(vm_id))
         outcome = self.outcome
         outcome.sound += deadly is None
         if verdict.action is VerdictAction.REFUSE:
@@ -186,13 +163,21 @@
             outcome.probes_ms.setdefault(verdict.trait_id, []).append(
                 self.now_ms
             )
-        for part in prompt[:-1]:
-            if part.part_id.startswith('bad'):
-                outcome.sends_ms.setdefault(part.part_id, []).append(
-                    self.now_ms
-                )
+        for trait_id in traits:
+            if trait_id in self._deadly_ids:
+                outcome.sends_ms.setdefault(trait_id, []).append(self.now_ms)
         endpoint = self._rng.choice(up)
-        _Attempt(self, endpoint, _Request(prompt, vm_id), retries).start()
+        _Attempt(self, endpoint, _Request(traits, vm_id), retries).start()
+
+    def resend(self, request: _Request, resends: int) -> None:
+        """Send a request on from its VM, as after a failed first attempt."""
+        core = self.cores[request.vm_id]
+        up = [endpoint for endpoint in self._endpoints if endpoint.is_up]
+        verdict = core.verdict(request.traits, self.vm_ms(request.vm_id))
+        if up and verdict.action is VerdictAction.ALLOW:
+            endpoint = self._rng.choice(up)
+            again = _Request(request.traits, request.vm_id)
+            _Attempt(self, endpoint, again, 0, resends).start()
 
     def crash(self, endpoint: _Endpoint, deadly: str | None = None) -> None:
         """Cut the connections of an endpoint and start it again later."""
@@ -297,28 +282,35 @@
     endpoint: _Endpoint
     request: _Request
     retries: int
+    resends: int = 0
 
     def start(self) -> None:
         rng = self.fleet.simulation.rng
         self.endpoint.requests[self.request] = None
+        begin_ms, end_ms = self.fleet.plan.begin_ms
         self.fleet.simulation.call_later(
-            rng.randrange(80 * _MS, 500 * _MS), self._begin_answer
+            rng.randrange(begin_ms * _MS, end_ms * _MS), self._begin_answer
         )
 
     def _begin_answer(self) -> None:
         if self._is_lost():
             if self.retries > 0:
-                self.fleet.send(self.request.prompt, self.retries - 1)
+                self.fleet.send(self.request.traits, self.retries - 1)
             return
-        deadly = self.fleet.plan.deadly_part(
-            self.request.prompt, self.fleet.now_ms
+        deadly = self.fleet.plan.deadly_trait(
+            self.request.traits, self.fleet.now_ms
         )
         if deadly is not None:
             self.fleet.crash(self.endpoint, deadly)
             self.fleet.note_named()
+            if self.resends < self.fleet.plan.deadly_resends:
+                self.fleet.simulation.call_later(40 * _MS, self._resend)
             return
         self.fleet.simulation.call_later(100 * _MS, self._go_on)
 
+    def _resend(self) -> None:
+        self.fleet.resend(self.request, self.resends + 1)
+
     def _go_on(self) -> None:
         if not self._is_lost():
             vm_id = self.request.vm_id
