Take the outcome of a request from VMs only, not from endpoints

The header with which VMs tell each other whether a refused request has run was believed from endpoints too, and without a look at the id: an endpoint that passes on or makes up such a header made a request 'not run' that ran.

--- a/features/steps/stale_refusals.py
+++ b/features/steps/stale_refusals.py
@@ -12,6 +12,7 @@
     b'',
     b'X-Not-Executed: 1\r\n',
     b'X-Response-Signature: old\r\n',
+    b'Baobabwharf-Outcome: not_run\r\n',
 )
 _EARLIER_IDS = (b'', b'X-Request-Id: id-0\r\n')
 _BODY = b'id: 1\ndata: a\n\n'
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -190,7 +190,7 @@
         return self._dialect.endpoint_headers(request, send)
 
     def _matches(self, head: ResponseHead, request_id: str) -> bool:
-        if head.header(OUTCOME_HEADER.lower()) is not None:
+        if self._outcome(head) is not None:
             return True
         metadata = self._dialect.read_response(head)
         if metadata.request_id == request_id:
@@ -203,10 +203,16 @@
         self.skipped_statuses.append(head.status)
         return False
 
+    def _outcome(self, head: ResponseHead) -> bytes | None:
+        """Return what a VM states about the request; endpoints cannot."""
+        if self.destination.record is not None:
+            return None
+        return head.header(OUTCOME_HEADER.lower())
+
     def _classify(
         self, head: ResponseHead, metadata: ResponseMetadata
     ) -> ResponseKind:
-        outcome = head.header(OUTCOME_HEADER.lower())
+        outcome = self._outcome(head)
         if outcome is not None:
             not_run = outcome == NOT_RUN
             return (
