--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -158,22 +158,11 @@
             else:
                 ended = opened
         finally:
-            self._close(attempt)
+            _end_attempt(self._context, self._plan, attempt)
         self._plan.attempts.may_have_run = may_have_run
         self._record_outcome(destination, load, ended, attempt)
         return ended
 
-    def _close(self, attempt: Attempt) -> None:
-        self._context.crashes.note_end(attempt, self._plan.metadata)
-        if attempt.skipped_statuses:
-            self._log(
-                'responses_skipped',
-                statuses=attempt.skipped_statuses,
-                address=attempt.destination.address,
-                reused=attempt.reused,
-            )
-        attempt.close()
-
     def _log_destination(
         self, destination: AttemptTarget, load: EndpointLoad | None
     ) -> None:
@@ -401,3 +390,18 @@
         for pair in end_to_end_headers(head.headers)
         if not pair[0].lower().startswith(_INTERNAL_PREFIX)
     ]
+
+
+def _end_attempt(
+    context: ProxyContext, plan: RequestPlan, attempt: Attempt
+) -> None:
+    context.crashes.note_end(attempt, plan.metadata)
+    if attempt.skipped_statuses:
+        context.log.record(
+            'responses_skipped',
+            request=plan.metadata.request_id,
+            statuses=attempt.skipped_statuses,
+            address=attempt.destination.address,
+            reused=attempt.reused,
+        )
+    attempt.close()
