--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -20,6 +20,7 @@
     ResponseHead,
     ResponseMetadata,
     encode_request,
+    end_to_end_headers,
 )
 from baobabwharf_daemon.proxy.request_plan import (
     RequestPlan,
@@ -38,6 +39,7 @@
 MAY_HAVE_RUN = b'may_have_run'
 HEAD = b'HEAD'
 
+_INTERNAL_PREFIX = b'baobabwharf-'
 _REDIRECT = 300
 _OK = 200
 _MISDIRECTED = 421
@@ -257,3 +259,12 @@
             return ResponseBody(bytes(content), complete=True)
         content += block
     return ResponseBody(bytes(content), complete=False)
+
+
+def caller_headers(head: ResponseHead) -> list[Header]:
+    """Return the headers of a response that callers get."""
+    return [
+        pair
+        for pair in end_to_end_headers(head.headers)
+        if not pair[0].lower().startswith(_INTERNAL_PREFIX)
+    ]
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
@@ -52,6 +52,11 @@
         """Return the idle time-out that the endpoint announced, if any."""
         return self._response.idle_limit_ms
 
+    @property
+    def event_ended(self) -> bool:
+        """Return whether a whole event of a stream has arrived."""
+        return self._response.event_ended
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enable TCP keepalive, so that network partitions are detected."""
         self._transport = transport
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -10,7 +10,6 @@
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
 from expression import Error
 
-from baobabwharf_daemon.event_boundary import EventBoundary
 from baobabwharf_daemon.metrics import ATTEMPTS
 from baobabwharf_daemon.proxy.attempt import (
     HEAD,
@@ -20,6 +19,7 @@
     OpenedResponse,
     ResponseBody,
     ResponseKind,
+    caller_headers,
     read_body,
 )
 from baobabwharf_daemon.proxy.endpoint_selector import (
@@ -28,12 +28,7 @@
     Selection,
 )
 from baobabwharf_daemon.proxy.http_call import HttpCall
-from baobabwharf_daemon.proxy.http_messages import (
-    Header,
-    ResponseHead,
-    end_to_end_headers,
-    parse_number,
-)
+from baobabwharf_daemon.proxy.http_messages import ResponseHead, parse_number
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
 from baobabwharf_daemon.proxy.request_plan import RequestPlan
 from baobabwharf_daemon.proxy.response_reader import ResponseLoss
@@ -42,7 +37,6 @@
 # retried or refused; larger ones are streamed to the caller.
 _MAX_BUFFERED_BYTES = 262_144
 _SERVER_ERROR = 500
-_INTERNAL_PREFIX = b'baobabwharf-'
 
 _UNSENT_ENDS = frozenset((AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED))
 _VM_STOPPING = RefusalCode.VM_STOPPING.value.encode()
@@ -305,7 +299,7 @@
             if self._call.request.method == HEAD:
                 length = head.length or 0
             self._call.start(
-                head.status, head.reason, _response_headers(head), length
+                head.status, head.reason, caller_headers(head), length
             )
             self._call.write(body.content)
             self._call.finish()
@@ -336,12 +330,10 @@
         """Stream the body; reset the caller's connection if it ends early."""
         head = opened.head
         self._call.start(
-            head.status, head.reason, _response_headers(head), head.length
+            head.status, head.reason, caller_headers(head), head.length
         )
         self._call.write(first)
         received_bytes = len(first)
-        events = EventBoundary()
-        events.feed(first)
         while True:
             block = await opened.connection.read_block()
             attempt.mark_prefilled()
@@ -362,8 +354,7 @@
             if not block:
                 break
             received_bytes += len(block)
-            events.feed(block)
-            if events.event_ended:
+            if opened.connection.event_ended:
                 # An endpoint that crashes on a prompt may send a part of the
                 # first event.
                 self._context.crashes.note_answer(
@@ -371,7 +362,7 @@
                 )
             self._call.write(block)
             await self._call.drain()
-        if not events.empty:
+        if received_bytes:
             self._context.crashes.note_answer(
                 attempt, self._plan.metadata.traits
             )
@@ -384,14 +375,6 @@
         )
 
 
-def _response_headers(head: ResponseHead) -> list[Header]:
-    return [
-        pair
-        for pair in end_to_end_headers(head.headers)
-        if not pair[0].lower().startswith(_INTERNAL_PREFIX)
-    ]
-
-
 def _end_attempt(
     context: ProxyContext, plan: RequestPlan, attempt: Attempt
 ) -> None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/response_reader.py
@@ -113,6 +113,11 @@
             and self._events.empty
         )
 
+    @property
+    def event_ended(self) -> bool:
+        """Return whether at least one event of a stream is whole."""
+        return self._events is not None and self._events.event_ended
+
     @property
     def inside_event(self) -> bool:
         """Return whether the body is a stream that ends inside an event."""
