Let only a stream continue a stream that broke off

A stream that an endpoint broke off was offered to the next endpoint; if that one answered with anything but a stream, its answer was sent as a second response. The web server refused that, and the caller's stream ended without an error event. Such an answer now counts as a failed attempt, and the stream ends with its error event. The foreign text itself never reached a caller in these cases.

The test gives the second endpoint 13 statuses and two media types, with one VM and with two. The platform's interface resumes no stream, so nothing follows one there.

--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -52,6 +52,8 @@
 ENDPOINT_KEY = 'bw-endpoint-key'
 TOKEN = 'bw-operator-token'
 SERVICE = 'rota-model'
+# Body of answers with a chosen status.
+FOREIGN_TEXT = b'{"message": "of the next endpoint"}'
 
 
 def digest(key):
@@ -348,7 +350,7 @@
     """Simulate an endpoint that optionally injects one fault.
 
     Faults: hang, hangup, cut (at a token), wrong_header, wrong_id, not_run,
-    error, short, stall, flood.
+    error, short, stall, flood, status-<code>-<media type>.
     """
 
     def __init__(
@@ -404,6 +406,14 @@
             )
         if self.fault == 'error':
             return web.Response(status=500, headers=headers)
+        if self.fault.startswith('status-'):
+            _name, status, media = self.fault.split('-')
+            return web.Response(
+                status=int(status),
+                body=None if status in {'204', '304'} else FOREIGN_TEXT,
+                headers=headers,
+                content_type=media,
+            )
         if self.fault == 'hang':
             await asyncio.sleep(60)
         if self.fault == 'hangup':
--- a/packages/daemon/src/baobabwharf_daemon/forwarding/attempts.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/attempts.py
@@ -153,6 +153,10 @@
             response
         ):
             return await self._relay_stream(response, writer, record)
+        if writer.headers_sent:
+            # Only a stream can continue the one that an earlier attempt began.
+            detail = f'It did not resume the stream: {response.status}.'
+            return self._failure(RefusalCode.ENDPOINT_FAILED, detail)
         return await self._relay_whole(response, writer)
 
     def _is_streamed_completion(self, response: aiohttp.ClientResponse) -> bool:
