Let renewals of endpoints tell a VM that missed a change of their state

A change of an endpoint, such as draining, went once to the VMs alive then. A VM that was starting, or whose push was lost, kept the old state for good: the renewals that were to repair it only moved the sequence on. A renewal now carries a checksum of the state, and a VM that holds another asks for the record, as it does for unknown endpoints.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_messages.py
@@ -9,11 +9,15 @@
 
 
 class Renewal(msgspec.Struct, frozen=True):
-    """Report a heartbeat of an endpoint whose state is unchanged."""
+    """Report a heartbeat of an endpoint.
+
+    state is the checksum of its state: a VM that missed a change holds another.
+    """
 
     endpoint_id: EndpointId
     order: tuple[int, int]
     cold_left_ms: int
+    state: int
 
 
 class EndpointPush(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
@@ -31,7 +31,7 @@
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
 from baobabwharf_daemon.task import Task
 
-# A lost push is repaired by the next renewal.
+# A change that a VM missed is repaired by the next renewal.
 _RENEW_S = 1.0
 _FETCH_PAUSE_S = 0.3
 # A VM drops endpoints whose heartbeats stopped for this long.  It is long, so
@@ -184,6 +184,8 @@
         if entry.record.incarnation != renewal.order[0]:
             return False
         if entry.record.order < renewal.order:
+            if entry.record.state_checksum != renewal.state:
+                return False
             entry.record = msgspec.structs.replace(
                 entry.record, sequence=renewal.order[1]
             )
@@ -223,7 +225,12 @@
         self, region: RegionId, records: Sequence[EndpointRecord]
     ) -> None:
         renewals = tuple(
-            Renewal(record.endpoint_id, record.order, record.cold_left_ms)
+            Renewal(
+                record.endpoint_id,
+                record.order,
+                record.cold_left_ms,
+                record.state_checksum,
+            )
             for record in records
             if record.region == region
         )
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_table.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_table.py
@@ -5,10 +5,12 @@
 at that address, since addresses are reused.
 """
 
+import zlib
 from collections.abc import Iterable
 from typing import final
 
 import msgspec
+from baobabwharf_core.codec import encode
 from baobabwharf_core.ids import (
     EndpointId,
     Incarnation,
@@ -49,6 +51,11 @@
         """
         return _without_volatile_fields(self) == _without_volatile_fields(other)
 
+    @property
+    def state_checksum(self) -> int:
+        """Return a number that is equal for records of the same state."""
+        return zlib.crc32(encode(_without_volatile_fields(self)))
+
 
 class EndpointEntry(msgspec.Struct):
     """Pair a record with times of the local monotonic clock."""
