Repeat that an endpoint has left, as its other changes are

A VM that missed it kept the endpoint for the 30 s after which silent ones are dropped. Departures now go with the renewals for 10 s. Before: the case 'left' wrong in both scenarios of endpoint_sync.feature; after: none.

--- a/features/steps/endpoint_sync.py
+++ b/features/steps/endpoint_sync.py
@@ -149,7 +149,7 @@
 @when('a VM misses each change of an endpoint because {reason}')
 def miss(context: Context, reason: str) -> None:
     missed = 'lost' if reason == 'a push is lost' else 'unknown'
-    cases = dict(_CHANGES)
+    cases = {**_CHANGES, 'left': None}
 
     async def play_all():
         return await asyncio.gather(
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
@@ -41,6 +41,8 @@
 # Endpoints restored from disk are dropped without a heartbeat for this long;
 # heartbeats come every second or two.
 _RESTORED_EXPIRY_MS = 5000
+# Departures are repeated for this time, in which a VM that starts gets known.
+_LEFT_REPEAT_MS = 10_000
 # Unchanged endpoints are rewritten this often, so that the file does not get
 # too old to be used.
 _STORE_S = 5
@@ -63,6 +65,8 @@
         self._clock = clock
         self._log = log
         self._records_to_renew: dict[EndpointId, EndpointRecord] = {}
+        # Regions of endpoints that left, and when.
+        self._left: dict[EndpointId, tuple[RegionId, int]] = {}
         self._loops: list[asyncio.Task[None]] = []
         self._client = EndpointSyncClient(client, self._records)
         self.endpoint_table = EndpointTable()
@@ -109,7 +113,9 @@
         self._records_to_renew.pop(endpoint_id, None)
         if entry is None:
             return
-        self.endpoint_table.leave(endpoint_id, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self.endpoint_table.leave(endpoint_id, now_ms)
+        self._left[endpoint_id] = (entry.record.region, now_ms)
         self._log.record('endpoint_left', endpoint=endpoint_id)
         push = EndpointPush(left=(endpoint_id,))
         self._push_to_vms(push, entry.record.region)
@@ -217,7 +223,15 @@
                 self._log.record('endpoint_silent', endpoint=endpoint_id)
             records = tuple(self._records_to_renew.values())
             self._records_to_renew.clear()
+            # An endpoint that is back was started again.
+            self._left = {
+                endpoint_id: (region, at_ms)
+                for endpoint_id, (region, at_ms) in self._left.items()
+                if now_ms - at_ms <= _LEFT_REPEAT_MS
+                and endpoint_id not in self.endpoint_table.entries
+            }
             regions = {record.region for record in records}
+            regions.update(region for region, _at_ms in self._left.values())
             for region in sorted(regions):
                 self._send_renewals(region, records)
 
@@ -234,10 +248,16 @@
             for record in records
             if record.region == region
         )
+        left = tuple(
+            endpoint_id
+            for endpoint_id, (left_region, _at_ms) in self._left.items()
+            if left_region == region
+        )
+        push = EndpointPush(renewals=renewals, left=left)
         for vm in self._vms.live().values():
             in_region = vm.region == region
             if in_region and vm.vm_id != self._vms.own.vm_id:
-                self._client.push(vm, EndpointPush(renewals=renewals))
+                self._client.push(vm, push)
 
     async def _fetch_initial(self) -> None:
         """Poll the disk VMs until one of them returns endpoints."""
