--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_sync.py
@@ -225,10 +225,10 @@
             self._records_to_renew.clear()
             # An endpoint that is back was started again.
             self._left = {
-                endpoint_id: (region, at_ms)
-                for endpoint_id, (region, at_ms) in self._left.items()
+                left_id: (region, at_ms)
+                for left_id, (region, at_ms) in self._left.items()
                 if now_ms - at_ms <= _LEFT_REPEAT_MS
-                and endpoint_id not in self.endpoint_table.entries
+                and left_id not in self.endpoint_table.entries
             }
             regions = {record.region for record in records}
             regions.update(region for region, _at_ms in self._left.values())
