--- a/features/steps/gateway_fakes.py
+++ b/features/steps/gateway_fakes.py
@@ -407,13 +407,7 @@
         if self.fault == 'error':
             return web.Response(status=500, headers=headers)
         if self.fault.startswith('status-'):
-            _name, status, media = self.fault.split('-')
-            return web.Response(
-                status=int(status),
-                body=None if status in {'204', '304'} else FOREIGN_TEXT,
-                headers=headers,
-                content_type=media,
-            )
+            return self._chosen_status(headers)
         if self.fault == 'hang':
             await asyncio.sleep(60)
         if self.fault == 'hangup':
@@ -424,6 +418,18 @@
             await asyncio.sleep(self.delay_s)
             text = f'{len(self.seen)} {request.method} {request.path_qs}'
             return web.Response(text=text, headers=headers)
+        return await self._complete(request, body, headers)
+
+    def _chosen_status(self, headers):
+        _name, status, media = self.fault.split('-')
+        return web.Response(
+            status=int(status),
+            body=None if status in {'204', '304'} else FOREIGN_TEXT,
+            headers=headers,
+            content_type=media,
+        )
+
+    async def _complete(self, request, body, headers):
         parameters = json.loads(body)
         if parameters.get('stream'):
             return await self._stream(request, parameters, headers)
