--- a/packages/decisions/src/baobabwharf_decisions/proxying/blame_decision.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/blame_decision.py
@@ -1,7 +1,8 @@
 """Decide which traits of requests are blamed for crashes.
 
 The trait in most crashes is blamed first; a crash that it explains counts for no
-trait that was in fewer.  Traits that always came together are all blamed.
+trait that was in fewer.  Of traits in the same crashes whole requests go first;
+if there are none, all are blamed.
 """
 
 from collections.abc import Iterable
--- a/packages/decisions/src/baobabwharf_decisions/proxying/request_traits.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/request_traits.py
@@ -15,7 +15,7 @@
 
 # Ids of prompt parts hold no colon, so they can't be taken for a whole request.
 _WHOLE_MARK = ':'
-# Too few bytes for a forgery; a caller could only match requests of its own.
+# Short, since reports list many; a collision joins requests of one caller.
 _DIGEST_BYTES = 9
 
 
