--- a/features/steps/platform_soak.py
+++ b/features/steps/platform_soak.py
@@ -31,4 +31,6 @@
 
 @then('the soak reports no violation')
 def no_violation(context: Context) -> None:
-    assert context.soak.returncode == 0, context.soak.stdout[-4000:]
+    # Without output the soak ended before its first fault.
+    shown = context.soak.stdout[-4000:] or context.soak.stderr[-4000:]
+    assert context.soak.returncode == 0, shown
