Take while stopping only what can be finished, and answer it before the end

Cause: callers were taken for the first 3 s of a drain whatever time their requests could need, since cached addresses may name only VMs that stop; at the end of the drain the connections were closed without an answer.

Change: a request that may not be repeated is taken during a drain only if its deadline comes before the drain's end. What still runs then is answered before the connections are closed: 504 if it was sent, 503 as not run if not; a stream that has begun is broken off. drain_window.feature asked that all requests of callers be taken for 3 s; now repeatable ones are, and the others are checked against the end of the drain at each moment.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -188,9 +188,7 @@
             'vm_stopping', connections=self._caller_listener.connections
         )
         self._stop_requested.set()
-        self._context.drain.begin(
-            self._clock.now_ms(), self._settings.drain_deadline_ms
-        )
+        self._context.begin_drain(self._settings.drain_deadline_ms)
         self._limits.membership.announce_leaving()
 
     async def run_until_stopped(self) -> None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -145,7 +145,10 @@
         drain = self._context.drain
         now_ms = self._context.clock.now_ms()
         refusal = drain.refusal(
-            plan.deadline_ms, now_ms, forwarded=plan.forwarded
+            plan.deadline_ms,
+            now_ms,
+            forwarded=plan.forwarded,
+            repeatable=plan.metadata.repeatable,
         )
         if drain.stopping and refusal is None:
             self._context.log.record(
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -41,6 +41,7 @@
 # retried or refused; larger ones are streamed to the caller.
 _MAX_BUFFERED_BYTES = 262_144
 _SERVER_ERROR = 500
+_MS_PER_S = 1000
 
 _UNSENT_ENDS = frozenset((AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED))
 _VM_STOPPING = RefusalCode.VM_STOPPING.value.encode()
@@ -77,21 +78,30 @@
 
     async def run(self) -> Refusal | None:
         """Run the attempts; return a refusal unless a response was begun."""
-        left_ms = self._plan.deadline_ms - self._context.clock.now_ms()
+        end_ms = min(self._plan.deadline_ms, self._context.drain.last_answer_ms)
+        left_ms = max(0, end_ms - self._context.clock.now_ms())
+        timeout = asyncio.timeout(left_ms / _MS_PER_S)
+        self._context.timeouts.add(timeout)
         try:
-            async with asyncio.timeout(max(0, left_ms) / 1000):
+            async with timeout:
                 return await self._attempt_until_done()
         except TimeoutError:
             return self._handle_timeout()
+        finally:
+            self._context.timeouts.discard(timeout)
 
     def _handle_timeout(self) -> Refusal | None:
-        self._log('deadline_reached', started=self._call.started)
+        drained = self._context.clock.now_ms() < self._plan.deadline_ms
+        reason = 'drain_ended' if drained else 'deadline_reached'
+        self._log(reason, started=self._call.started)
         if self._call.started:
-            self._plan.abort_reason = 'deadline_reached'
+            self._plan.abort_reason = reason
             self._call.abort()
             return None
         if self._plan.attempts.may_have_run:
             return Refusal(RefusalCode.ENDPOINT_TIMEOUT, Executed.UNKNOWN)
+        if drained:
+            return Refusal(RefusalCode.VM_STOPPING)
         return Refusal(RefusalCode.DEADLINE_UNREACHABLE)
 
     async def _attempt_until_done(self) -> Refusal | None:
--- a/packages/decisions/src/baobabwharf_decisions/proxying/drain_window.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/drain_window.py
@@ -1,8 +1,9 @@
-"""Decide which requests a stopping VM still takes.
+"""Decide which requests a stopping VM still takes, and when it ends them.
 
 The load is callers with cached addresses that connect to a VM during its whole
 drain, with requests that may run for longer than the drain, while other VMs of
-the region are stopping too.
+the region are stopping too.  A caller can repeat a request that is cut only if
+it is repeatable.
 """
 
 from typing import final
@@ -16,6 +17,8 @@
 STALE_ADDRESS_MS = 3000
 # Time to write the last responses before the connections are closed.
 _FLUSH_MS = 100
+# No request is running for this long without a drain.
+_UNLIMITED_MS = 2**53
 # The request may be sent to another VM at once.
 _RETRY_AFTER_MS = 0
 
@@ -42,8 +45,20 @@
         """Return the time to the end of the drain, None before it begins."""
         return None if self._ends_ms is None else self._ends_ms - now_ms
 
+    @property
+    def last_answer_ms(self) -> int:
+        """Return the time at which requests that still run are answered."""
+        if self._ends_ms is None:
+            return _UNLIMITED_MS
+        return self._ends_ms - _FLUSH_MS
+
     def refusal(
-        self, deadline_ms: int, now_ms: int, *, forwarded: bool
+        self,
+        deadline_ms: int,
+        now_ms: int,
+        *,
+        forwarded: bool,
+        repeatable: bool,
     ) -> Refusal | None:
         """Return a refusal if the drain could cut the request.
 
@@ -52,9 +67,10 @@
         """
         if self._ends_ms is None:
             return None
-        if may_start(self._ends_ms - _FLUSH_MS, deadline_ms):
+        if may_start(self.last_answer_ms, deadline_ms):
             return None
-        if not forwarded and now_ms < self._stale_until_ms:
+        stale_address = not forwarded and now_ms < self._stale_until_ms
+        if stale_address and repeatable:
             return None
         return Refusal(
             RefusalCode.VM_STOPPING,
