Lead callers whose region restarts to the home regions of their routes

Change: the directory knows the host that the caller asks for; it names the home regions of the host's routes before any other region.

vm_directory.feature plays each set of regions with live entry VMs.

--- /dev/null
+++ b/features/steps/vm_directory.py
@@ -0,0 +1,65 @@
+"""Ask the directory while entry VMs of some regions are missing."""
+
+import itertools
+
+from baobabwharf_core.deployment import DeployedRoute, Deployment, RouteKind
+from baobabwharf_core.fleet_config import VmRecord
+from baobabwharf_daemon.proxy.vm_directory import entry_addresses
+from baobabwharf_decisions.proxying.routes import RouteTable
+from behave import given, then
+from behave.runner import Context
+
+_REGIONS = ('tunis', 'sfax', 'sousse')
+_HOST = 'H.example'
+
+
+def _route(number: int, homes: str) -> DeployedRoute:
+    regions = tuple(homes.split(',')) if homes else ()
+    prefix = f'/{number}/'
+    kind = RouteKind.IDEMPOTENT
+    return DeployedRoute(
+        prefix, _HOST, prefix, kind, 1, 1, 0, (), home_regions=regions
+    )
+
+
+def _vm(region: str, *, has_disk: bool) -> VmRecord:
+    name = f'{region}-{"disk" if has_disk else "entry"}'
+    return VmRecord(name, region, 'z', has_disk, '', '', f'http://{region}:1')
+
+
+@given('routes of a host with homes "{first}" and "{second}"')
+@given('routes of a host with homes "" and ""')
+def routes(context: Context, first: str = '', second: str = '') -> None:
+    # A route of another host must not matter.
+    other = DeployedRoute(
+        'o',
+        'other.example',
+        '/',
+        RouteKind.IDEMPOTENT,
+        1,
+        1,
+        0,
+        (),
+        home_regions=('nowhere',),
+    )
+    context.route_table = RouteTable(
+        Deployment(1, (_route(1, first), _route(2, second), other))
+    )
+
+
+@then('callers of that host get their own region, else any region')
+@then(
+    'callers of that host get their own region, else {homes}, else any region'
+)
+def led(context: Context, homes: str = '') -> None:
+    expected_homes = set(homes.split(' or ')) if homes else set()
+    found_homes = context.route_table.home_regions(_HOST.lower())
+    disks = [_vm(region, has_disk=True) for region in _REGIONS]
+    for count in range(len(_REGIONS) + 1):
+        for live_regions in itertools.combinations(_REGIONS, count):
+            entries = [_vm(region, has_disk=False) for region in live_regions]
+            live = set(live_regions)
+            for region in _REGIONS:
+                named = entry_addresses([*disks, *entries], region, found_homes)
+                expected = (live & {region}) or (live & expected_homes) or live
+                assert set(named) == {f'{one}:1' for one in expected}, named
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -12,6 +12,7 @@
 
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.fleet_config import FleetConfig, VmRecord
+from baobabwharf_core.ids import RegionId
 from baobabwharf_decisions.proxying.drain_window import STALE_ADDRESS_MS
 from baobabwharf_decisions.proxying.routes import RouteTable
 
@@ -32,6 +33,7 @@
 from baobabwharf_daemon.proxy.peer_exchange import build_peer_exchange
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
 from baobabwharf_daemon.proxy.region_slots import RegionSlots
+from baobabwharf_daemon.proxy.vm_directory import entry_addresses
 from baobabwharf_daemon.settings import Settings
 from baobabwharf_daemon.task import Task
 from baobabwharf_daemon.vm_components import build_vm_components
@@ -148,6 +150,14 @@
         """Return the view of the live VMs."""
         return self._limits.membership
 
+    def entry_addresses(self, host: str, region: RegionId) -> tuple[str, ...]:
+        """Return where a caller of a host in a region should connect."""
+        table = self._route_table
+        homes = frozenset() if table is None else table.home_regions(host)
+        return entry_addresses(
+            self._limits.membership.live_vms(), region, homes
+        )
+
     async def start(self) -> None:
         """Start all tasks; the caller listener comes last."""
         listen = self._settings.listen
--- a/packages/daemon/src/baobabwharf_daemon/proxy/vm_directory.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/vm_directory.py
@@ -11,15 +11,19 @@
 
 
 def entry_addresses(
-    live: Iterable[VmRecord], region: RegionId
+    live: Iterable[VmRecord],
+    region: RegionId,
+    homes: frozenset[RegionId],
 ) -> tuple[str, ...]:
-    """Return the addresses in the caller's region, or all if it has none.
+    """Return the addresses in the caller's region, or else in home regions.
 
-    This keeps requests in the caller's region where possible.
+    All are returned if neither has any: an entry VM elsewhere can still forward
+    a request to its home.
     """
     entries = entry_vms(live)
     near = [vm for vm in entries if vm.region == region]
-    chosen = near or entries
+    at_home = [vm for vm in entries if vm.region in homes]
+    chosen = near or at_home or entries
     addresses = sorted(_address(vm) for vm in chosen)
     return tuple(addresses[:MAX_ADDRESSES])
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/routes.py
@@ -56,6 +56,22 @@
             default=None,
         )
 
+    def home_regions(self, host: str) -> frozenset[RegionId]:
+        """Return the regions to which most routes of a host are bound.
+
+        These are the homes that its bound routes have in common or, without
+        common ones, all their homes; empty if no route is bound.
+        """
+        homes = [
+            frozenset(route.home_regions)
+            for route in self._hosts.get(host.lower(), ())
+            if route.home_regions
+        ]
+        if not homes:
+            return frozenset()
+        common = frozenset.intersection(*homes)
+        return common or frozenset.union(*homes)
+
     def find(self, host: str, path: str) -> Result[DeployedRoute, Refusal]:
         """Return the route of a host with the longest matching path prefix."""
         for route in self._hosts.get(host.lower(), ()):
