--- a/packages/core/src/baobabwharf_core/input_types.py
+++ b/packages/core/src/baobabwharf_core/input_types.py
@@ -37,14 +37,12 @@
 EXACT_INTEGER = Meta(ge=0, le=MAX_EXACT_INTEGER)
 ExactInteger = Annotated[int, EXACT_INTEGER]
 # Loads and spending; differences of them are negative.
-AMOUNT = Meta(ge=-MAX_EXACT_INTEGER, le=MAX_EXACT_INTEGER)
-Amount = Annotated[int, AMOUNT]
+Amount = Annotated[int, Meta(ge=-MAX_EXACT_INTEGER, le=MAX_EXACT_INTEGER)]
 VersionNumber = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
 # Slots, connections, attempts and priorities.
 SmallCount = Annotated[int, Meta(ge=0, le=_MAX_COUNT)]
 # Tokens, or tokens per second.
 Rate = Annotated[float, Meta(ge=0, le=_MAX_RATE)]
-RateInteger = Annotated[int, Meta(ge=0, le=_MAX_RATE)]
 Weight = Annotated[float, Meta(ge=0, le=_MAX_COUNT)]
 DurationMs = Annotated[float, Meta(ge=0, le=_MAX_DURATION_MS)]
 DurationIntegerMs = Annotated[int, Meta(ge=0, le=_MAX_DURATION_MS)]
