--- a/features/unit/odd_input.feature
+++ b/features/unit/odd_input.feature
@@ -37,7 +37,7 @@
     Given 5 stored endpoints of which each in turn is spoiled in each way
     Then a disk VM that starts knows the other 4
 
-  Scenario: A datagram that can't be used doesn't close the socket
+  Scenario: Datagrams that can't be used don't keep a sound one out
     Given a socket that receives load reports
     When odd datagrams of each kind arrive before a sound one
     Then the sound one is applied
--- a/packages/daemon/src/baobabwharf_daemon/proxy/datagrams.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/datagrams.py
@@ -50,10 +50,7 @@
         _log.debug('Sending a datagram failed: %s', exc)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Pass a datagram to the handler; log one that can't be used.
-
-        An exception would make the event loop close the socket.
-        """
+        """Pass a datagram to the handler; log one that can't be used."""
         try:
             self.handle_datagram(data, addr[0])
         except (msgspec.DecodeError, ArithmeticError, LookupError) as fault:
