Blame the drain for an ended request only while there is one

Found on the last read: the reason was derived from the time alone. A timer that fires a moment before the deadline would have been logged as the end of a drain, and a forwarded request that was not sent refused as by a stopping VM, which the forwarding VM then avoids for a second. By reading; no run showed it.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -91,7 +91,11 @@
             self._context.timeouts.discard(timeout)
 
     def _handle_timeout(self) -> Refusal | None:
-        drained = self._context.clock.now_ms() < self._plan.deadline_ms
+        # A timer may fire a moment before the deadline without any drain.
+        drained = (
+            self._context.drain.stopping
+            and self._context.clock.now_ms() < self._plan.deadline_ms
+        )
         reason = 'drain_ended' if drained else 'deadline_reached'
         self._log(reason, started=self._call.started)
         if self._call.started:
