Name stopping VMs of the home regions while none is live there

VMs that are stopping still take callers for 3 s, since cached addresses name them, but the directory did not name them.

Change: membership remembers when a VM announced that it stops; where routes of a host have homes, the directory names such VMs for 3 s before it names others.

--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -79,3 +79,18 @@
     subject.fleet.network.partitioned_regions = frozenset()
     subject.run_until(34)
     assert subject.fleet.all_see_all()
+
+
+@then('each VM names one that announced its stop as stopping for 3 s')
+def stopping(context: Context) -> None:
+    subject = MembershipSubject(0)
+    nodes = list(subject.fleet.nodes.values())
+    leaving, others = nodes[0], nodes[1:]
+    for probe in leaving.core.leave():
+        for node in others:
+            node.core.merge(leaving.core.own.record.vm_id, probe.message, 8000)
+    record = leaving.core.own.record
+    for node in others:
+        assert node.core.stopping(10_999, 3000) == (record,)
+        assert node.core.stopping(11_000, 3000) == ()
+        assert record not in node.core.live()
--- a/features/steps/vm_directory.py
+++ b/features/steps/vm_directory.py
@@ -22,9 +22,10 @@
     )
 
 
-def _vm(region: str, *, has_disk: bool) -> VmRecord:
-    name = f'{region}-{"disk" if has_disk else "entry"}'
-    return VmRecord(name, region, 'z', has_disk, '', '', f'http://{region}:1')
+def _vm(region: str, *, has_disk: bool, port: int = 1) -> VmRecord:
+    name = f'{region}-{"disk" if has_disk else "entry"}-{port}'
+    url = f'http://{region}:{port}'
+    return VmRecord(name, region, 'z', has_disk, '', '', url)
 
 
 @given('routes of a host with homes "{first}" and "{second}"')
@@ -60,6 +61,36 @@
             entries = [_vm(region, has_disk=False) for region in live_regions]
             live = set(live_regions)
             for region in _REGIONS:
-                named = entry_addresses([*disks, *entries], region, found_homes)
+                named = entry_addresses(
+                    [*disks, *entries], (), region, found_homes
+                )
                 expected = (live & {region}) or (live & expected_homes) or live
                 assert set(named) == {f'{one}:1' for one in expected}, named
+
+
+def _region_sets() -> list[set[str]]:
+    return [
+        set(chosen)
+        for count in range(len(_REGIONS) + 1)
+        for chosen in itertools.combinations(_REGIONS, count)
+    ]
+
+
+@then(
+    'callers with neither live there get stopping VMs of {home} or of their '
+    'own region'
+)
+def led_to_stopping(context: Context, home: str) -> None:
+    homes = context.route_table.home_regions(_HOST.lower())
+    for live, stopping in itertools.product(_region_sets(), repeat=2):
+        entries = [_vm(region, has_disk=False) for region in live]
+        leaving = [_vm(region, has_disk=False, port=2) for region in stopping]
+        leaving += [_vm(region, has_disk=True, port=3) for region in _REGIONS]
+        for region in _REGIONS:
+            named = entry_addresses(entries, leaving, region, homes)
+            expected = {f'{one}:1' for one in live & {region}}
+            expected = expected or {f'{one}:1' for one in live & {home}}
+            bound = stopping & {home, region}
+            expected = expected or {f'{one}:2' for one in bound}
+            expected = expected or {f'{one}:1' for one in live}
+            assert set(named) == expected, (named, live, stopping, region)
--- a/features/unit/membership.feature
+++ b/features/unit/membership.feature
@@ -24,3 +24,6 @@
 
   Scenario: A partition heals
     Then membership splits at a partition and joins after it heals
+
+  Scenario: VMs that stop are told apart from dead ones for a time
+    Then each VM names one that announced its stop as stopping for 3 s
--- a/packages/daemon/src/baobabwharf_daemon/membership_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/membership_task.py
@@ -101,7 +101,7 @@
 
     @property
     def core(self) -> MembershipCore:
-        """Return the membership core, for operators and tests."""
+        """Return the membership core, to ask for more than the live VMs."""
         return self._core
 
     def register(self, server: RpcServer) -> None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -154,9 +154,12 @@
         """Return where a caller of a host in a region should connect."""
         table = self._route_table
         homes = frozenset() if table is None else table.home_regions(host)
-        return entry_addresses(
-            self._limits.membership.live_vms(), region, homes
+        membership = self._limits.membership
+        # They take requests for this time, and live VMs go before them.
+        stopping = membership.core.stopping(
+            self._clock.now_ms(), STALE_ADDRESS_MS
         )
+        return entry_addresses(membership.live_vms(), stopping, region, homes)
 
     async def start(self) -> None:
         """Start all tasks; the caller listener comes last."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/vm_directory.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/vm_directory.py
@@ -12,18 +12,24 @@
 
 def entry_addresses(
     live: Iterable[VmRecord],
+    stopping: Iterable[VmRecord],
     region: RegionId,
     homes: frozenset[RegionId],
 ) -> tuple[str, ...]:
     """Return the addresses in the caller's region, or else in home regions.
 
-    All are returned if neither has any: an entry VM elsewhere can still forward
-    a request to its home.
+    Requests that are bound to a region should not leave it, so VMs that are
+    stopping there go before live ones elsewhere.  All live ones are returned if
+    there are none: they can still forward a request to its home.
     """
     entries = entry_vms(live)
     near = [vm for vm in entries if vm.region == region]
     at_home = [vm for vm in entries if vm.region in homes]
-    chosen = near or at_home or entries
+    chosen = near or at_home
+    if not chosen and homes:
+        bound = homes | {region}
+        chosen = [vm for vm in entry_vms(stopping) if vm.region in bound]
+    chosen = chosen or entries
     addresses = sorted(_address(vm) for vm in chosen)
     return tuple(addresses[:MAX_ADDRESSES])
 
--- a/packages/decisions/src/baobabwharf_decisions/membership/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/core.py
@@ -100,6 +100,14 @@
         )
         return (*own, *others)
 
+    def stopping(self, now_ms: int, within_ms: int) -> tuple[VmRecord, ...]:
+        """Return VMs that announced less than within_ms ago that they stop."""
+        return tuple(
+            member.record
+            for member in self._table.in_states(LEFT)
+            if member.record is not None and now_ms - member.left_ms < within_ms
+        )
+
     def state_of(self, vm_id: VmId) -> str | None:
         """Return the state of another VM, None if it is unknown."""
         member = self._table.get(vm_id)
--- a/packages/decisions/src/baobabwharf_decisions/membership/member_table.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/member_table.py
@@ -42,6 +42,7 @@
         '_index',
         'deadline_ms',
         'incarnation',
+        'left_ms',
         'own_failures',
         'record',
         'state',
@@ -58,6 +59,8 @@
         index[self.state][vm_id] = self
         self.incarnation = Incarnation(0)
         self.deadline_ms = 0
+        # When this VM heard that the other one is stopping.
+        self.left_ms = 0
         # Failed probes by this VM since the suspicion began.
         self.own_failures = 0
 
--- a/packages/decisions/src/baobabwharf_decisions/membership/member_transitions.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/member_transitions.py
@@ -46,6 +46,8 @@
         if member.state == SUSPECT and before != SUSPECT:
             member.deadline_ms = now_ms + SUSPICION_MS
             member.own_failures = 0
+        if member.state == LEFT and before != LEFT:
+            member.left_ms = now_ms
         self._gossip(update)
         self._report_change(member, before)
 
