--- a/packages/testkit/src/baobabwharf_testkit/run_tests.py
+++ b/packages/testkit/src/baobabwharf_testkit/run_tests.py
@@ -1,6 +1,7 @@
 """Run the behave suite and compare its failures with KNOWN-RED.txt."""
 
 import json
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -9,7 +10,8 @@
 import msgspec
 
 _KNOWN_RED_PATH = Path('KNOWN-RED.txt')
-_REPORT_PATH = Path('build') / 'test-report.json'
+# Several runs may share a checkout.
+_REPORT_PATH = Path('build') / f'test-report-{os.getpid()}.json'
 _FAILED_STATUSES = frozenset(('failed', 'error', 'undefined', 'hook_error'))
 _PASSED_STATUS = 'passed'
 
@@ -96,6 +98,7 @@
         print('behave wrote no report.')
         return 1
     outcomes = classify(json.loads(_REPORT_PATH.read_text()))
+    _REPORT_PATH.unlink()
     unexpected = _report_unexpected(outcomes, read_known_red(_KNOWN_RED_PATH))
     crashed = exit_code != 0 and not outcomes.failed
     if crashed:
