--- a/features/steps/platform_fleet.py
+++ b/features/steps/platform_fleet.py
@@ -18,6 +18,7 @@
     FleetLayout,
     wait_for_imports,
 )
+from baobabwharf_testkit.loopback_networks import reserve_network
 from behave import given, then, when
 from behave.runner import Context
 
@@ -119,7 +120,11 @@
         self.folder = folder
         self.loop = asyncio.new_event_loop()
         base = random.Random(seed).randrange(20_000, 28_000, 40)
-        prefix = f'127.0.{10 + seed}'
+        # Other runs of the suite may play the same seed.
+        self._network = reserve_network(
+            f'127.{second}.{10 + seed}' for second in range(250)
+        )
+        prefix = self._network.prefix
         self.disks = [f'{prefix}.{n + 1}' for n in range(disks)]
         self.entries = [f'{prefix}.{n + 51}' for n in range(entries)]
         self.layout = FleetLayout(folder, base, {'z-1': 'r-1'}, self.disks)
@@ -156,6 +161,7 @@
             task.cancel()
         self.loop.run_until_complete(asyncio.sleep(0))
         self.loop.close()
+        self._network.release()
 
     async def call(
         self, method: str, url: str, content: bytes = b'', **headers: str
