Bound what endpoints, operators and VMs send at the own interface

Cause: numbers of announcements, heartbeats, caps, lending, Raft messages and region summaries had no ranges. Found with new boundaries of the fuzzer on the code before: a heartbeat with a load of 2^53 or more ends the VM that publishes the summary of its region (8 cases), 15 kinds of handed-over records fail, an infinite or undefined time in a summary ends the placement of requests (8), a returned chunk with a negative rest breaks the sums of a bucket, a reply to a borrow request with too few grants ends the borrower, a Raft term of 2^64-1 ends the replica (5).

Change: ranges in the types; records of the registry sync are decoded one by one, an invalid one is skipped, logged and counted; a borrow reply is used only if it answers the request.

Without the range of a heartbeat's load or of a returned chunk the search finds a failure again.

--- a/features/steps/odd_input.py
+++ b/features/steps/odd_input.py
@@ -10,11 +10,22 @@
 
 import msgspec
 import uvloop
+from baobabwharf_core import codec
+from baobabwharf_core.announcements import Heartbeat, LoadReport
 from baobabwharf_core.clock import SystemClock
-from baobabwharf_core.codec import encode
+from baobabwharf_core.codec import decode, encode, encode_each
+from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_daemon.endpoint_registry import (
+    AgedAnnouncement,
+    AgedHeartbeat,
+    SyncRequest,
+)
+from baobabwharf_daemon.gateway import announcement_routes
 from baobabwharf_daemon.proxy import endpoint_store
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
 from baobabwharf_daemon.proxy.endpoint_store import EndpointStore
+from baobabwharf_decisions.limits import ReturnRequest
+from baobabwharf_decisions.limits.messages import Returned
 from baobabwharf_decisions.proxying.endpoint_table import (
     MAX_ENDPOINTS,
     EndpointTable,
@@ -23,6 +34,11 @@
 from baobabwharf_soak.datagram_boundaries import DATAGRAM_BOUNDARIES
 from baobabwharf_soak.fuzz import BOUNDARIES, REGRESSIONS
 from baobabwharf_soak.platform_boundaries import RegistrationBoundary
+from baobabwharf_soak.registry_boundaries import (
+    RegistrySubject,
+    announcement,
+    beat,
+)
 from baobabwharf_testkit.fuzz import fuzzer, spoiling
 from baobabwharf_testkit.fuzz.boundary import Encoding
 from behave import given, then, when
@@ -96,6 +112,86 @@
     context.add_cleanup(setattr, registrations, '_decoder', sound)
 
 
+# The message, the part of it that has the field, and how it is decoded.
+_MESSAGE_KINDS = {
+    'heartbeat': (Heartbeat, LoadReport),
+    'token-return': (ReturnRequest, Returned),
+}
+
+
+def _without_range(kind: type, name: str, field_type: object) -> type:
+    """Return a kind of message with another type for one field."""
+    (field,) = (one for one in msgspec.structs.fields(kind) if one.name == name)
+    spec = (name, field_type)
+    if not field.required:
+        spec = (name, field_type, field.default)
+    return msgspec.defstruct(kind.__name__, [spec], bases=(kind,), frozen=True)
+
+
+@given('{name} whose "{part}" is decoded without the range of "{field}"')
+def nested_without_range(
+    context: Context, name: str, part: str, field: str
+) -> None:
+    _quiet(context)
+    kind, part_kind = _MESSAGE_KINDS[name]
+    open_part = _without_range(part_kind, field, int)
+    is_list = part != 'load'
+    part_type = tuple[open_part, ...] if is_list else open_part
+    open_kind = _without_range(kind, part, part_type)
+    if kind is Heartbeat:
+        place, key = vars(announcement_routes), '_heartbeats'
+        decoder = msgspec.json.Decoder(open_kind)
+    else:
+        place, key = codec._decoders, kind
+        decoder = msgspec.msgpack.Decoder(open_kind)
+    sound = place.get(key)
+    place[key] = decoder
+    context.add_cleanup(place.__setitem__, key, sound)
+    context.boundary = next(one for one in BOUNDARIES if one.name == name)
+
+
+@then('one with any field spoiled makes the VM fail')
+def nested_search_finds(context: Context) -> None:
+    assert fuzzer.check_each_field(context.boundary)
+
+
+@given(
+    'heartbeats of {count:d} endpoints of which each in turn is spoiled in '
+    'each way'
+)
+def handed_over_spoiled(context: Context, count: int) -> None:
+    _quiet(context)
+    names = [EndpointId(f'i-{number}') for number in range(count)]
+    announced = encode_each(
+        AgedAnnouncement(announcement(name), 1) for name in names
+    )
+    beats = encode_each(AgedHeartbeat(beat(name), 1) for name in names)
+    context.requests = []
+    for number, sound in enumerate(beats):
+        document = msgspec.msgpack.decode(bytes(sound))
+        for path in spoiling.paths(document):
+            for token in filter(_is_whole, spoiling.tokens(Encoding.MSGPACK)):
+                changed = list(beats)
+                spoiled = spoiling.replace_at(
+                    document, path, msgspec.Raw(token)
+                )
+                changed[number] = msgspec.Raw(encode(spoiled))
+                request = SyncRequest(VmId('o'), announced, tuple(changed))
+                context.requests.append((names[number], encode(request)))
+
+
+@then('a VM that is handed them knows the load of the other {count:d}')
+def knows_other_loads(context: Context, count: int) -> None:
+    assert len(context.requests) > 1000
+    for spoiled_id, content in context.requests:
+        subject = RegistrySubject()
+        subject.hand_over(decode(content, SyncRequest))
+        loads = subject.reported_requests()
+        loads.pop(spoiled_id, None)
+        assert len(loads) == count, (spoiled_id, loads)
+        assert set(loads.values()) == {3}, (spoiled_id, loads)
+
+
 @then('a registration with any one field spoiled makes the VM fail')
 def search_finds(context: Context) -> None:
     boundary = RegistrationBoundary()
--- a/features/unit/odd_input.feature
+++ b/features/unit/odd_input.feature
@@ -30,6 +30,20 @@
       | cold_left_ms |
       | leaves_ms    |
 
+  Scenario Outline: Without the range of <field> in <messages> the search finds a failure
+    Given <messages> whose "<part>" is decoded without the range of "<field>"
+    Then one with any field spoiled makes the VM fail
+
+    Examples:
+      | messages       | part     | field   |
+      | heartbeat      | load     | running |
+      | heartbeat      | load     | queued  |
+      | token-return   | items    | left    |
+
+  Scenario: An odd heartbeat among those that another VM hands over costs only itself
+    Given heartbeats of 5 endpoints of which each in turn is spoiled in each way
+    Then a VM that is handed them knows the load of the other 4
+
   Scenario: The reason names the field
     Then each registration with one number too large names its field
 
--- a/packages/core/src/baobabwharf_core/announcements.py
+++ b/packages/core/src/baobabwharf_core/announcements.py
@@ -1,6 +1,7 @@
 """Define the JSON messages with which endpoints announce and report."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -12,6 +13,18 @@
     ServiceId,
     ZoneId,
 )
+from baobabwharf_core.input_types import (
+    EXACT_INTEGER,
+    HEADER_TOKEN,
+    NAME,
+    BaseUrl,
+    DurationIntegerMs,
+    ExactInteger,
+    Name,
+    SmallCount,
+    Speed,
+    Weight,
+)
 
 ANNOUNCE_PATH = '/platform/v1/announce'
 HEARTBEAT_PATH = '/platform/v1/heartbeat'
@@ -43,18 +56,18 @@
 class Announcement(msgspec.Struct, frozen=True):
     """Describe an endpoint; slots is its number of concurrent requests."""
 
-    endpoint_id: EndpointId
-    service: ServiceId
-    region: RegionId
-    zone: ZoneId
-    url: str
-    incarnation: Incarnation
-    models: tuple[ModelId, ...] = ()
-    adapters: tuple[str, ...] = ()
+    endpoint_id: Annotated[EndpointId, HEADER_TOKEN]
+    service: Annotated[ServiceId, NAME]
+    region: Annotated[RegionId, NAME]
+    zone: Annotated[ZoneId, NAME]
+    url: BaseUrl
+    incarnation: Annotated[Incarnation, EXACT_INTEGER]
+    models: tuple[Annotated[ModelId, NAME], ...] = ()
+    adapters: tuple[Name, ...] = ()
     capabilities: Capabilities = Capabilities()
-    slots: int = 8
-    tokens_per_s: float = 50.0
-    prefill_tokens_per_s: float = 4000.0
+    slots: SmallCount = 8
+    tokens_per_s: Speed = 50.0
+    prefill_tokens_per_s: Speed = 4000.0
 
 
 class CacheEventKind(enum.Enum):
@@ -70,7 +83,7 @@
     A gap in the sequence numbers means that events were lost.
     """
 
-    sequence: int
+    sequence: ExactInteger
     kind: CacheEventKind
     block_hash: int
 
@@ -78,18 +91,18 @@
 class LoadReport(msgspec.Struct, frozen=True):
     """Report the load of an endpoint as of age_ms ago."""
 
-    running: int
-    queued: int
-    age_ms: int = 0
-    kv_used_share: float = 0.0
+    running: SmallCount
+    queued: SmallCount
+    age_ms: DurationIntegerMs = 0
+    kv_used_share: Weight = 0.0
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
     """Renew the lease of an endpoint and report load and cache events."""
 
-    endpoint_id: EndpointId
-    incarnation: Incarnation
-    sequence: int
+    endpoint_id: Annotated[EndpointId, HEADER_TOKEN]
+    incarnation: Annotated[Incarnation, EXACT_INTEGER]
+    sequence: ExactInteger
     load: LoadReport
     cache_events: tuple[CacheEvent, ...] = ()
     leaving: bool = False
--- a/packages/core/src/baobabwharf_core/changes.py
+++ b/packages/core/src/baobabwharf_core/changes.py
@@ -23,6 +23,7 @@
     VmId,
     ZoneId,
 )
+from baobabwharf_core.input_types import TokenCount
 
 
 class _Change(msgspec.Struct, frozen=True, tag=True):
@@ -39,8 +40,8 @@
     """Set the rate limit of a customer and its burst."""
 
     customer_id: CustomerId
-    rate_tokens_per_s: int
-    burst_tokens: int
+    rate_tokens_per_s: TokenCount
+    burst_tokens: TokenCount
 
 
 class SetResidency(_Change, frozen=True, tag=True):
--- a/packages/core/src/baobabwharf_core/fleet_config.py
+++ b/packages/core/src/baobabwharf_core/fleet_config.py
@@ -16,15 +16,15 @@
     WorkClass,
     ZoneId,
 )
-from baobabwharf_core.input_types import EXACT_INTEGER
+from baobabwharf_core.input_types import EXACT_INTEGER, TokenCount
 
 
 class Customer(msgspec.Struct, frozen=True):
     """Describe a customer; an empty residency allows every region."""
 
     customer_id: CustomerId
-    rate_tokens_per_s: int
-    burst_tokens: int
+    rate_tokens_per_s: TokenCount
+    burst_tokens: TokenCount
     residency: tuple[RegionId, ...] = ()
 
 
--- a/packages/core/src/baobabwharf_core/input_types.py
+++ b/packages/core/src/baobabwharf_core/input_types.py
@@ -41,8 +41,14 @@
 VersionNumber = Annotated[int, Meta(ge=0, le=_MAX_INTEGER)]
 # Slots, connections, attempts and priorities.
 SmallCount = Annotated[int, Meta(ge=0, le=_MAX_COUNT)]
+# Limits of customers in tokens, or in tokens per second.
+TokenCount = Annotated[int, Meta(ge=0, le=_MAX_RATE)]
+# Parts of such limits, in millionths of a token.
+MicroTokens = Annotated[int, Meta(ge=0, le=_MAX_RATE * 10**6)]
 # Tokens, or tokens per second.
 Rate = Annotated[float, Meta(ge=0, le=_MAX_RATE)]
+# Tokens per second by which times are divided.
+Speed = Annotated[float, Meta(gt=0, le=_MAX_RATE)]
 Weight = Annotated[float, Meta(ge=0, le=_MAX_COUNT)]
 DurationMs = Annotated[float, Meta(ge=0, le=_MAX_DURATION_MS)]
 DurationIntegerMs = Annotated[int, Meta(ge=0, le=_MAX_DURATION_MS)]
@@ -60,6 +66,14 @@
 HeaderToken = Annotated[str, HEADER_TOKEN]
 # HOST:PORT; an IPv6 address has brackets.
 Address = Annotated[str, Meta(max_length=_MAX_ADDRESS, pattern=_ADDRESS)]
+# The base URL of an endpoint of the own interface.
+BaseUrl = Annotated[
+    str,
+    Meta(
+        max_length=_MAX_TEXT,
+        pattern=rf'\Ahttps?://{_HOST}(?::{_PORT})?(?:/[\x21-\x7e]*)?\Z',
+    ),
+]
 # Empty if there is none.
 OptionalAddress = Annotated[
     str, Meta(max_length=_MAX_ADDRESS, pattern=_OPTIONAL_ADDRESS)
--- a/packages/daemon/src/baobabwharf_daemon/endpoint_registry.py
+++ b/packages/daemon/src/baobabwharf_daemon/endpoint_registry.py
@@ -1,13 +1,15 @@
 """Register endpoints and synchronise them with the VMs of the same region."""
 
 import asyncio
-from typing import Any, final
+from typing import Any, TypeVar, final
 
 import msgspec
 from baobabwharf_core.announcements import Announcement, Heartbeat, LeaseAnswer
 from baobabwharf_core.clock import Clock
+from baobabwharf_core.codec import decode_each, encode_each
 from baobabwharf_core.fleet_config import VmRecord
 from baobabwharf_core.ids import EndpointId, VmId
+from baobabwharf_core.input_types import DurationIntegerMs
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_decisions.endpoint_directory import EndpointDirectory
 from baobabwharf_decisions.endpoints import (
@@ -19,6 +21,7 @@
 
 from baobabwharf_daemon.interfaces import EndpointRegistry, MembershipView
 from baobabwharf_daemon.log import get_logger
+from baobabwharf_daemon.metrics import SKIPPED_RECORDS
 from baobabwharf_daemon.rpc import RpcClient, RpcServer
 from baobabwharf_daemon.settings import Settings
 
@@ -27,27 +30,33 @@
 # Limit of one batch; the next heartbeat replaces one that was dropped.
 _MAX_PENDING_MESSAGES = 5000
 
+AgedT = TypeVar('AgedT')
+
 
 class AgedAnnouncement(msgspec.Struct, frozen=True, array_like=True):
     """Carry an announcement that was received age_ms ago."""
 
     announcement: Announcement
-    age_ms: int
+    age_ms: DurationIntegerMs
 
 
 class AgedHeartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Carry a heartbeat that was received age_ms ago."""
 
     beat: Heartbeat
-    age_ms: int
+    age_ms: DurationIntegerMs
 
 
 class SyncRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Carry what endpoints sent to this VM to the VMs of its region."""
+    """Carry what endpoints sent to this VM to the VMs of its region.
+
+    AgedAnnouncement and AgedHeartbeat are decoded one by one, so that an
+    invalid one does not affect the others.
+    """
 
     origin: VmId
-    announcements: tuple[AgedAnnouncement, ...] = ()
-    beats: tuple[AgedHeartbeat, ...] = ()
+    announcements: tuple[msgspec.Raw, ...] = ()
+    beats: tuple[msgspec.Raw, ...] = ()
     want_all: bool = False
 
 
@@ -55,8 +64,8 @@
     """List endpoints unknown to this VM and, if requested, all known ones."""
 
     unknown: tuple[EndpointId, ...] = ()
-    announcements: tuple[AgedAnnouncement, ...] = ()
-    beats: tuple[AgedHeartbeat, ...] = ()
+    announcements: tuple[msgspec.Raw, ...] = ()
+    beats: tuple[msgspec.Raw, ...] = ()
 
 
 class _ReceivedState(msgspec.Struct):
@@ -194,8 +203,8 @@
                 beats.append(AgedHeartbeat(message, now_ms - received_ms))
         return SyncRequest(
             VmId(self._settings.vm_id),
-            tuple(announcements),
-            tuple(beats),
+            encode_each(announcements),
+            encode_each(beats),
             want_all,
         )
 
@@ -212,14 +221,16 @@
             return
         reply = answer.ok
         self._synced_peers.add(peer.vm_id)
-        self._apply(reply.announcements, reply.beats)
+        self._apply(peer.vm_id, reply.announcements, reply.beats)
         for endpoint_id in reply.unknown:
             received = self._received.get(endpoint_id)
             if received is not None:
                 self._enqueue(received.received_ms, received.announcement)
 
     async def _serve(self, request: SyncRequest) -> SyncReply:
-        unknown = self._apply(request.announcements, request.beats)
+        unknown = self._apply(
+            request.origin, request.announcements, request.beats
+        )
         if not request.want_all:
             return SyncReply(unknown)
         now_ms = self._clock.now_ms()
@@ -230,13 +241,13 @@
         ]
         return SyncReply(
             unknown,
-            tuple(
+            encode_each(
                 AgedAnnouncement(
                     received.announcement, now_ms - received.received_ms
                 )
                 for received in alive
             ),
-            tuple(
+            encode_each(
                 AgedHeartbeat(received.beat, now_ms - received.received_ms)
                 for received in alive
                 if received.beat is not None
@@ -245,16 +256,17 @@
 
     def _apply(
         self,
-        announcements: tuple[AgedAnnouncement, ...],
-        beats: tuple[AgedHeartbeat, ...],
+        origin: VmId,
+        announcements: tuple[msgspec.Raw, ...],
+        beats: tuple[msgspec.Raw, ...],
     ) -> tuple[EndpointId, ...]:
         now_ms = self._clock.now_ms()
-        for aged in announcements:
+        for aged in self._decode_each(origin, announcements, AgedAnnouncement):
             if aged.announcement.region == self._settings.region:
                 self._directory.announce(aged.announcement, now_ms, aged.age_ms)
         unknown = [
             aged_beat.beat.endpoint_id
-            for aged_beat in beats
+            for aged_beat in self._decode_each(origin, beats, AgedHeartbeat)
             if self._directory.heartbeat(
                 aged_beat.beat, now_ms, aged_beat.age_ms
             ).outcome
@@ -262,6 +274,18 @@
         ]
         return tuple(unknown)
 
+    def _decode_each(
+        self,
+        origin: VmId,
+        payloads: tuple[msgspec.Raw, ...],
+        message_type: type[AgedT],
+    ) -> list[AgedT]:
+        decoded, faults = decode_each(payloads, message_type)
+        for fault in faults:
+            SKIPPED_RECORDS.inc({'kind': message_type.__name__})
+            self._log.warning('Skipping a message of VM %s: %s', origin, fault)
+        return decoded
+
     def _store_heartbeat(self, beat: Heartbeat, now_ms: int) -> None:
         received = self._received.get(beat.endpoint_id)
         if received is None:
--- a/packages/daemon/src/baobabwharf_daemon/token_lending.py
+++ b/packages/daemon/src/baobabwharf_daemon/token_lending.py
@@ -186,7 +186,7 @@
     async def _send_borrow(self, action: SendBorrow) -> None:
         reply = await self._call(action.to, BORROW_PATH, action.request)
         self._advance()
-        if isinstance(reply, BorrowReply):
+        if isinstance(reply, BorrowReply) and reply.answers(action.request):
             self._core.handle_borrow_reply(reply)
         else:
             self._core.handle_borrow_failure(action.request.number)
--- a/packages/decisions/src/baobabwharf_decisions/consensus/messages.py
+++ b/packages/decisions/src/baobabwharf_decisions/consensus/messages.py
@@ -1,9 +1,14 @@
 """Define log entries, messages, output and options of the Raft state machine."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 from baobabwharf_core.ids import LogIndex, Term, VmId
+from baobabwharf_core.input_types import EXACT_INTEGER, ExactInteger
+
+ReceivedTerm = Annotated[Term, EXACT_INTEGER]
+ReceivedIndex = Annotated[LogIndex, EXACT_INTEGER]
 
 
 class Membership(msgspec.Struct, frozen=True):
@@ -30,8 +35,8 @@
     appends, so that entries of earlier terms can be committed.
     """
 
-    index: LogIndex
-    term: Term
+    index: ReceivedIndex
+    term: ReceivedTerm
     payload: bytes = b''
     membership: Membership | None = None
 
@@ -46,15 +51,15 @@
 class Snapshot(msgspec.Struct, frozen=True):
     """Hold the state machine's state as of last_index."""
 
-    last_index: LogIndex = LogIndex(0)
-    last_term: Term = Term(0)
+    last_index: ReceivedIndex = LogIndex(0)
+    last_term: ReceivedTerm = Term(0)
     membership: Membership = Membership()
     payload: bytes = b''
 
 
 class _Message(msgspec.Struct, frozen=True, tag=True):
     sender: VmId
-    term: Term
+    term: ReceivedTerm
 
 
 class VoteRequest(_Message, frozen=True, tag=True):
@@ -64,8 +69,8 @@
     then vote even if they have heard from that leader recently.
     """
 
-    last_index: LogIndex
-    last_term: Term
+    last_index: ReceivedIndex
+    last_term: ReceivedTerm
     pre: bool
     transfer: bool = False
 
@@ -85,12 +90,12 @@
     an older session and is not counted.
     """
 
-    previous_index: LogIndex
-    previous_term: Term
+    previous_index: ReceivedIndex
+    previous_term: ReceivedTerm
     entries: tuple[Entry, ...]
-    commit: LogIndex
-    read_round: int
-    session: int
+    commit: ReceivedIndex
+    read_round: ExactInteger
+    session: ExactInteger
 
 
 class AppendAnswer(_Message, frozen=True, tag=True):
@@ -101,28 +106,28 @@
     """
 
     success: bool
-    index: LogIndex
-    read_round: int
-    session: int
-    rejected: LogIndex = LogIndex(0)
+    index: ReceivedIndex
+    read_round: ExactInteger
+    session: ExactInteger
+    rejected: ReceivedIndex = LogIndex(0)
 
 
 class SnapshotChunk(_Message, frozen=True, tag=True):
     """Carry a chunk of a snapshot; total_bytes is the whole payload's size."""
 
     snapshot: Snapshot
-    offset: int
-    total_bytes: int
-    session: int
+    offset: ExactInteger
+    total_bytes: ExactInteger
+    session: ExactInteger
 
 
 class SnapshotAnswer(_Message, frozen=True, tag=True):
     """Request the chunk at next_offset, or report a durable snapshot."""
 
-    last_index: LogIndex
-    next_offset: int
+    last_index: ReceivedIndex
+    next_offset: ExactInteger
     installed: bool
-    session: int
+    session: ExactInteger
 
 
 class TimeoutNow(_Message, frozen=True, tag=True):
--- a/packages/decisions/src/baobabwharf_decisions/limits/messages.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/messages.py
@@ -2,6 +2,11 @@
 
 import msgspec
 from baobabwharf_core.ids import CustomerId, VmId
+from baobabwharf_core.input_types import (
+    ExactInteger,
+    MicroTokens,
+    VersionNumber,
+)
 from baobabwharf_core.refusals import Refusal
 from baobabwharf_core.requests import Reservation
 
@@ -10,15 +15,15 @@
     """Ask for up to an amount of a customer's micro-tokens."""
 
     customer_id: CustomerId
-    amount: int
+    amount: MicroTokens
 
 
 class BorrowRequest(msgspec.Struct, frozen=True):
     """Ask one holder for tokens; a resend has the same nonce and number."""
 
     borrower: VmId
-    nonce: int
-    number: int
+    nonce: ExactInteger
+    number: ExactInteger
     asks: tuple[Ask, ...]
 
 
@@ -26,27 +31,36 @@
     """Lend a chunk (amount may be zero) and state the holder's level left."""
 
     customer_id: CustomerId
-    chunk_id: int
-    amount: int
-    level_left: int
+    chunk_id: VersionNumber
+    amount: MicroTokens
+    level_left: MicroTokens
 
 
 class BorrowReply(msgspec.Struct, frozen=True):
     """Answer the asks of one request, in their order."""
 
-    nonce: int
-    number: int
+    nonce: ExactInteger
+    number: ExactInteger
     grants: tuple[Grant, ...]
 
+    def answers(self, request: BorrowRequest) -> bool:
+        """Return whether each ask of the request has its grant."""
+        return (
+            self.nonce == request.nonce
+            and self.number == request.number
+            and [grant.customer_id for grant in self.grants]
+            == [ask.customer_id for ask in request.asks]
+        )
+
 
 class Returned(msgspec.Struct, frozen=True):
     """Report a chunk: left to spend, and the totals returned and used."""
 
     customer_id: CustomerId
-    chunk_id: int
-    left: int
-    total: int
-    used: int
+    chunk_id: VersionNumber
+    left: MicroTokens
+    total: MicroTokens
+    used: MicroTokens
 
 
 class ReturnRequest(msgspec.Struct, frozen=True):
--- a/packages/decisions/src/baobabwharf_decisions/summaries.py
+++ b/packages/decisions/src/baobabwharf_decisions/summaries.py
@@ -2,6 +2,11 @@
 
 import msgspec
 from baobabwharf_core.ids import ModelId, RegionId, ServiceId
+from baobabwharf_core.input_types import (
+    DurationMs,
+    ExactInteger,
+    SmallCount,
+)
 from baobabwharf_core.requests import RequestAttributes
 
 from baobabwharf_decisions.endpoint_directory import EndpointDirectory
@@ -16,10 +21,10 @@
 
     service: ServiceId
     model: ModelId | None
-    slots: int
-    requests: int
-    service_ms: float
-    prefill_token_ms: float
+    slots: ExactInteger
+    requests: ExactInteger
+    service_ms: DurationMs
+    prefill_token_ms: DurationMs
     # First blocks of recent prompts cached in the region, newest last.
     prefixes: tuple[int, ...] = ()
 
@@ -28,8 +33,8 @@
     """Summarise a region; sequence increases per origin."""
 
     region: RegionId
-    sequence: int
-    vms: int
+    sequence: ExactInteger
+    vms: SmallCount
     groups: tuple[GroupSummary, ...]
 
 
