Index endpoints by service, and publish slots of the deployment's services only

Change: EndpointTable keeps its entries by service as well. Steps after, with the odd entries: as without them (the test allows a tenth more).

--- a/features/steps/odd_input.py
+++ b/features/steps/odd_input.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import logging
+import random
 import socket
+import sys
 import tempfile
 import typing
 from pathlib import Path
@@ -14,6 +16,8 @@
 from baobabwharf_core.announcements import Heartbeat, LoadReport
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.codec import decode, encode, encode_each
+from baobabwharf_core.deployment import DeployedService
+from baobabwharf_core.fleet_config import VmRecord
 from baobabwharf_core.ids import EndpointId, VmId
 from baobabwharf_daemon.endpoint_registry import (
     AgedAnnouncement,
@@ -23,6 +27,7 @@
 from baobabwharf_daemon.gateway import announcement_routes
 from baobabwharf_daemon.proxy import endpoint_store
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
+from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.endpoint_store import EndpointStore
 from baobabwharf_decisions.limits import ReturnRequest
 from baobabwharf_decisions.limits.messages import Returned
@@ -44,6 +49,7 @@
 from behave import given, then, when
 from behave.runner import Context
 from endpoint_store import record as endpoint_record
+from proxy_exchanges import SingleVmView
 
 _NUMBERS = ('slots', 'sequence', 'born', 'coldLeftMs', 'leavesMs')
 _TOO_LARGE = (2**53, 2**63, 2**64, 2**70, 2**200, 1e300, -1e300)
@@ -362,3 +368,58 @@
     for endpoint_id in tuple(table.entries):
         table.drop(endpoint_id)
     assert not table._ids_at
+
+
+def _count_steps(action) -> int:
+    """Return the number of bytecode instructions that an action takes.
+
+    Unlike times, it is the same on a busy machine.
+    """
+    steps = 0
+
+    def trace(frame, event, argument):
+        nonlocal steps
+        frame.f_trace_opcodes = True
+        steps += event == 'opcode'
+        return trace
+
+    sys.settrace(trace)
+    try:
+        action()
+    finally:
+        sys.settrace(None)
+    return steps
+
+
+def _steps_by_action(context: Context) -> dict[str, int]:
+    own = VmRecord('v', 'r', 'z', False, '', '', '')
+    selector = EndpointSelector(
+        own,
+        SystemClock(),
+        context.endpoint_table,
+        SingleVmView(),
+        random.Random(1),
+    )
+    service = DeployedService('s')
+    # Loads are created when they are first asked for.
+    selector._candidates(service, frozenset())
+    actions = {
+        'choose an endpoint': lambda: selector._candidates(
+            service, frozenset()
+        ),
+        'publish the region slots': selector.own_slots,
+    }
+    return {name: _count_steps(action) for name, action in actions.items()}
+
+
+@when('{count:d} later entries of unknown services are added')
+def add_unknown(context: Context, count: int) -> None:
+    context.steps_before = _steps_by_action(context)
+    unknown_services(context, count)
+    context.steps_after = _steps_by_action(context)
+
+
+@then('they add at most a tenth to the steps that it takes to {what}')
+def steps_bounded(context: Context, what: str) -> None:
+    before, after = context.steps_before[what], context.steps_after[what]
+    assert before > 100 and after <= before * 1.1, (before, after)
--- a/features/unit/odd_input.feature
+++ b/features/unit/odd_input.feature
@@ -62,3 +62,13 @@
     Then the table holds at most 10000 entries
     And the sound ones are all known and their heartbeats are taken
     And an endpoint of a known service takes over the address of one that ended
+
+  Scenario Outline: Many entries of unknown services don't slow down requests: <what>
+    Given 20 endpoints of a known service
+    When 5000 later entries of unknown services are added
+    Then they add at most a tenth to the steps that it takes to <what>
+
+    Examples:
+      | what                     |
+      | choose an endpoint       |
+      | publish the region slots |
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_selector.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_selector.py
@@ -212,14 +212,11 @@
         self._evacuated = wanted
 
     def own_slots(self) -> dict[ServiceId, int]:
-        """Return the slots per service of this region's endpoints in use."""
-        slots: dict[ServiceId, int] = {}
-        for entry in self._endpoint_table.entries.values():
-            record = entry.record
-            if self._in_use(record):
-                count = slots.get(record.service, 0) + record.slots
-                slots[record.service] = count
-        return slots
+        """Return the slots of this region's endpoints for each service."""
+        return {
+            service: self._own_slots_of(service)
+            for service in sorted(self._endpoint_table.services)
+        }
 
     def select(
         self,
@@ -270,9 +267,16 @@
         shared_tokens = sum(part.tokens for part in plan.metadata.prompt[:-1])
         if service.engine is None or shared_tokens < _MIN_SHARED_TOKENS:
             return None
-        own_slots = self.own_slots().get(service.name, 0)
+        own_slots = self._own_slots_of(service.name)
         return self.regions.select_preferred_region(plan, own_slots)
 
+    def _own_slots_of(self, service: ServiceId) -> int:
+        return sum(
+            entry.record.slots
+            for entry in self._endpoint_table.of_service(service)
+            if self._in_use(entry.record)
+        )
+
     def _destination(self, chosen: Candidate) -> AttemptTarget:
         record = self._endpoint_table.entries[chosen.endpoint_id].record
         return AttemptTarget(record.address, record.region, record)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_table.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_table.py
@@ -88,6 +88,9 @@
         # Incarnations that said that they are leaving, and when it was noted.
         self._leaving: dict[EndpointId, tuple[int, int]] = {}
         self._ids_at: dict[str, set[EndpointId]] = {}
+        # Other programs may register many endpoints of services that nobody
+        # asks for; they must not slow down the choice of an endpoint.
+        self._by_service: dict[ServiceId, dict[EndpointId, EndpointEntry]] = {}
         # Services of the deployment, empty until it is known.
         self.services: frozenset[ServiceId] = frozenset()
 
@@ -113,9 +116,10 @@
             # The heartbeat may have been sent before the endpoint was marked
             # cold.
             cold_until_ms = max(cold_until_ms, known.cold_until_ms)
-        self._entries[record.endpoint_id] = EndpointEntry(
-            record, now_ms, cold_until_ms
-        )
+        entry = EndpointEntry(record, now_ms, cold_until_ms)
+        self._entries[record.endpoint_id] = entry
+        of_service = self._by_service.setdefault(record.service, {})
+        of_service[record.endpoint_id] = entry
         at_address = self._ids_at.setdefault(record.address, set())
         at_address.add(record.endpoint_id)
         return known is None or not known.record.same_state(record)
@@ -208,11 +212,7 @@
 
     def of_service(self, service: ServiceId) -> list[EndpointEntry]:
         """Return the entries of a service's endpoints."""
-        return [
-            entry
-            for entry in self._entries.values()
-            if entry.record.service == service
-        ]
+        return list(self._by_service.get(service, {}).values())
 
     def _is_deregistered(self, record: EndpointRecord) -> bool:
         deregistered = self._deregistered.get(record.endpoint_id)
@@ -254,6 +254,10 @@
             at_address.discard(endpoint_id)
             if not at_address:
                 self._ids_at.pop(entry.record.address)
+            of_service = self._by_service[entry.record.service]
+            of_service.pop(endpoint_id)
+            if not of_service:
+                self._by_service.pop(entry.record.service)
         return entry
 
 
