--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -1,5 +1,7 @@
 """Exercise membership in a simulated fleet."""
 
+from baobabwharf_core.fleet_config import VmRecord
+from baobabwharf_decisions.membership import MembershipCore
 from baobabwharf_testkit.membership_simulation import (
     MemberFleet,
     run_membership,
@@ -94,3 +96,33 @@
         assert node.core.stopping(10_999, 3000) == (record,)
         assert node.core.stopping(11_000, 3000) == ()
         assert record not in node.core.live()
+
+
+def _live_now(core: MembershipCore) -> tuple[VmRecord, ...]:
+    own = () if core.own.leaving else (core.own.record,)
+    others = core._table.in_states('alive', 'suspect')
+    return own + tuple(one.record for one in others if one.record is not None)
+
+
+@then(
+    'membership lists the live VMs at each moment of a partition, a leave and '
+    'its end'
+)
+def follows(context: Context) -> None:
+    subject = MembershipSubject(0.1)
+    fleet = subject.fleet
+    nodes = list(fleet.nodes.values())
+    seen = set()
+    for step in range(8 * 50, 40 * 50):
+        if step == 10 * 50:
+            fleet.network.partitioned_regions = frozenset(('region-0',))
+        elif step == 16 * 50:
+            fleet.network.partitioned_regions = frozenset()
+        elif step == 30 * 50:
+            nodes[-1].core.leave()
+        fleet.simulation.run(step * _S // 50)
+        for node in nodes:
+            live = node.core.live()
+            assert live == _live_now(node.core), (step, node.vm_id)
+            seen.add(live)
+    assert len(seen) > 20, len(seen)
--- a/features/unit/membership.feature
+++ b/features/unit/membership.feature
@@ -27,3 +27,6 @@
 
   Scenario: VMs that stop are told apart from dead ones for a time
     Then each VM names one that announced its stop as stopping for 3 s
+
+  Scenario: The list of live VMs follows each change
+    Then membership lists the live VMs at each moment of a partition, a leave and its end
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_selector.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_selector.py
@@ -95,6 +95,9 @@
         self._backoff = RegionBackoff(rng)
         # Slots per region and service, as published by the VMs there.
         self.slots: dict[tuple[RegionId, ServiceId], int] = {}
+        self._live: tuple[VmRecord, ...] | None = None
+        self._forwarding_vms: dict[RegionId, list[VmRecord]] = {}
+        self._vm_ids: dict[RegionId, list[VmId]] = {}
 
     def note_refusal(self, plan: RequestPlan, region: RegionId) -> None:
         """Back off from a region that refused a request."""
@@ -113,15 +116,11 @@
         self, plan: RequestPlan, excluded: frozenset[RegionId]
     ) -> AttemptTarget | None:
         """Return a VM of another region for a request, if there is one."""
-        forwarding_vms = forwarding_vms_by_region(self._members.live_vms())
-        vms = {
-            region: [vm.vm_id for vm in region_vms]
-            for region, region_vms in forwarding_vms.items()
-        }
+        self._follow_members()
         service = plan.metadata.service
         candidates = region_candidates(
             self.slots,
-            vms,
+            self._vm_ids,
             service,
             plan.allowed_regions,
             self._own.region,
@@ -134,13 +133,25 @@
             return None
         chosen = next(
             vm
-            for vm in forwarding_vms[candidate.region]
+            for vm in self._forwarding_vms[candidate.region]
             if vm.vm_id == candidate.vm_id
         )
         return AttemptTarget(
             chosen.forward_address, candidate.region, vm_id=candidate.vm_id
         )
 
+    def _follow_members(self) -> None:
+        """Group the live VMs by region if any of them has changed."""
+        live = self._members.live_vms()
+        if live is self._live:
+            return
+        self._live = live
+        self._forwarding_vms = forwarding_vms_by_region(live)
+        self._vm_ids = {
+            region: [vm.vm_id for vm in region_vms]
+            for region, region_vms in self._forwarding_vms.items()
+        }
+
     def select_preferred_region(
         self, plan: RequestPlan, own_slots: int
     ) -> AttemptTarget | None:
--- a/packages/decisions/src/baobabwharf_decisions/membership/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/core.py
@@ -82,6 +82,8 @@
         )
         # True from a freeze until another VM has answered.
         self.stale = False
+        self._live: tuple[VmRecord, ...] = ()
+        self._live_basis: tuple[int, VmRecord, bool] | None = None
         self._gossip(self._own.update())
         self.add_records(seeds)
 
@@ -91,14 +93,22 @@
         return self._own
 
     def live(self) -> tuple[VmRecord, ...]:
-        """Return the alive and suspect VMs, this VM first."""
-        own = () if self._own.leaving else (self._own.record,)
-        others = (
-            member.record
-            for member in self._table.in_states(ALIVE, SUSPECT)
-            if member.record is not None
-        )
-        return (*own, *others)
+        """Return the alive and suspect VMs, this VM first.
+
+        The tuple is the same object until a member changes: requests and timers
+        ask many times a second, and in large fleets it is long.
+        """
+        basis = (self._table.changes, self._own.record, self._own.leaving)
+        if basis != self._live_basis:
+            self._live_basis = basis
+            own = () if self._own.leaving else (self._own.record,)
+            others = (
+                member.record
+                for member in self._table.in_states(ALIVE, SUSPECT)
+                if member.record is not None
+            )
+            self._live = (*own, *others)
+        return self._live
 
     def stopping(self, now_ms: int, within_ms: int) -> tuple[VmRecord, ...]:
         """Return VMs that announced less than within_ms ago that they stop."""
--- a/packages/decisions/src/baobabwharf_decisions/membership/member_table.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/member_table.py
@@ -40,11 +40,11 @@
 
     __slots__ = (
         '_index',
+        '_record',
         'deadline_ms',
         'incarnation',
         'left_ms',
         'own_failures',
-        'record',
         'state',
         'vm_id',
     )
@@ -53,10 +53,10 @@
         self, vm_id: VmId, record: VmRecord | None, index: '_Index'
     ) -> None:
         self.vm_id = vm_id
-        self.record = record
+        self._record = record
         self.state = _CHART.initial
         self._index = index
-        index[self.state][vm_id] = self
+        index.add(self)
         self.incarnation = Incarnation(0)
         self.deadline_ms = 0
         # When this VM heard that the other one is stopping.
@@ -64,11 +64,24 @@
         # Failed probes by this VM since the suspicion began.
         self.own_failures = 0
 
+    @property
+    def record(self) -> VmRecord | None:
+        """Return the newest record of the VM, None if it is unknown."""
+        return self._record
+
+    @record.setter
+    def record(self, record: VmRecord | None) -> None:
+        if record != self._record:
+            self._index.changes += 1
+        self._record = record
+
     def apply_event(self, event: str) -> None:
         """Apply an event of the state chart."""
-        del self._index[self.state][self.vm_id]
-        self.state = _CHART.step(self.state, event)
-        self._index[self.state][self.vm_id] = self
+        state = _CHART.step(self.state, event)
+        if state != self.state:
+            self._index.remove(self)
+            self.state = state
+            self._index.add(self)
 
     def supersedes(self, update: MemberUpdate) -> bool:
         """Return whether the known state is at least as new as the update."""
@@ -91,7 +104,23 @@
         )
 
 
-_Index = dict[str, dict[VmId, Member]]
+@final
+class _Index:
+    """Hold the members by state, and count the changes of them."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, dict[VmId, Member]] = {
+            state: {} for state in _CHART.states
+        }
+        self.changes = 0
+
+    def add(self, member: Member) -> None:
+        self.members[member.state][member.vm_id] = member
+        self.changes += 1
+
+    def remove(self, member: Member) -> None:
+        del self.members[member.state][member.vm_id]
+        self.changes += 1
 
 
 @final
@@ -99,7 +128,7 @@
     """Index members by state, so that tick cost is independent of size."""
 
     def __init__(self) -> None:
-        self._index: _Index = {state: {} for state in _CHART.states}
+        self._index = _Index()
         self._members: dict[VmId, Member] = {}
 
     def __iter__(self) -> Iterator[Member]:
@@ -108,6 +137,11 @@
     def __len__(self) -> int:
         return len(self._members)
 
+    @property
+    def changes(self) -> int:
+        """Return a number that grows with each change of a state or record."""
+        return self._index.changes
+
     def get(self, vm_id: VmId) -> Member | None:
         """Return a member, None if it is unknown."""
         return self._members.get(vm_id)
@@ -126,13 +160,15 @@
         member = self._members[vm_id]
         if member.state in {DEAD, LEFT}:
             member.apply_event('forgotten')
-            self._index[member.state].clear()
+            self._index.members[member.state].clear()
             del self._members[vm_id]
 
     def in_states(self, *states: str) -> list[Member]:
         """Return the members in any of the states, sorted by id."""
         found = [
-            member for state in states for member in self._index[state].values()
+            member
+            for state in states
+            for member in self._index.members[state].values()
         ]
         found.sort(key=lambda member: member.vm_id)
         return found
