Show second by second which requests were lost, and why

The logs could not tell whether a request was late, since its target was not logged. request_ended now says it, and `baobabwharf losses` reads the log files of all VMs into a table of seconds and one of routes.

Also: an announcement keeps any printable URL when another VM hands it over, as recorded messages of earlier versions do, and is refused with the field when an endpoint sends one without a valid host and port. outer_names.feature failed on that, and knows now what the records of a registry sync hold.

--- a/features/steps/outer_names.py
+++ b/features/steps/outer_names.py
@@ -100,6 +100,14 @@
         'departures': endpoint_messages.Departure,
     },
     endpoint_store._Stored: {'records': endpoint_table.EndpointRecord},
+    endpoint_registry.SyncRequest: {
+        'announcements': endpoint_registry.AgedAnnouncement,
+        'beats': endpoint_registry.AgedHeartbeat,
+    },
+    endpoint_registry.SyncReply: {
+        'announcements': endpoint_registry.AgedAnnouncement,
+        'beats': endpoint_registry.AgedHeartbeat,
+    },
 }
 _TAGGED: dict[str, Any] = {
     'change': changes.Change,
--- a/packages/cli/src/baobabwharf_cli/main.py
+++ b/packages/cli/src/baobabwharf_cli/main.py
@@ -29,6 +29,7 @@
     WithdrawEndpointKeyCommand,
     WithdrawKeyCommand,
 )
+from baobabwharf_cli.losses import LossesCommand
 from baobabwharf_cli.routes import ListRoutesCommand, SetRouteCommand
 from baobabwharf_cli.targets import ListTargetsCommand, SetTargetCommand
 from baobabwharf_cli.tls import TlsCommand
@@ -58,6 +59,7 @@
     ExplainCommand,
     RemoveVmCommand,
     TraceCommand,
+    LossesCommand,
     TlsCommand,
 )
 
--- a/packages/core/src/baobabwharf_core/announcements.py
+++ b/packages/core/src/baobabwharf_core/announcements.py
@@ -17,12 +17,12 @@
     EXACT_INTEGER,
     HEADER_TOKEN,
     NAME,
-    BaseUrl,
     DurationIntegerMs,
     ExactInteger,
     Name,
     SmallCount,
     Speed,
+    Text,
     Weight,
 )
 
@@ -60,7 +60,7 @@
     service: Annotated[ServiceId, NAME]
     region: Annotated[RegionId, NAME]
     zone: Annotated[ZoneId, NAME]
-    url: BaseUrl
+    url: Text
     incarnation: Annotated[Incarnation, EXACT_INTEGER]
     models: tuple[Annotated[ModelId, NAME], ...] = ()
     adapters: tuple[Name, ...] = ()
--- a/packages/daemon/src/baobabwharf_daemon/gateway/announcement_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/announcement_routes.py
@@ -8,6 +8,7 @@
     Heartbeat,
     LeaseAnswer,
 )
+from baobabwharf_core.input_types import BaseUrl
 from baobabwharf_core.json_input import decode_json
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from expression import Error, Result
@@ -83,7 +84,14 @@
 
 def decode_announcement(body: bytes) -> Result[Announcement, str]:
     """Decode an announcement; an error says which part is invalid."""
-    return decode_json(body, _announcements, MAX_BODY_BYTES)
+    decoded = decode_json(body, _announcements, MAX_BODY_BYTES)
+    if decoded.is_error():
+        return decoded
+    try:
+        msgspec.convert(decoded.ok.url, BaseUrl)
+    except msgspec.ValidationError:
+        return Error('Expected a URL with a valid host and port - at `$.url`.')
+    return decoded
 
 
 def decode_heartbeat(body: bytes) -> Result[Heartbeat, str]:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -313,6 +313,7 @@
             framing=None if plan.framing is None else plan.framing.value,
             took_ms=took_ms,
             first_ms=first_ms,
+            target_ms=plan.metadata.target_left_ms,
             sends=plan.attempts.sent + plan.attempts.unsent + (refusal is None),
             config_version=self._version(),
         )
