--- a/features/functional/platform_soak.feature
+++ b/features/functional/platform_soak.feature
@@ -11,3 +11,5 @@
       | seed | seconds | cause                                              |
       | 1    | 12      | a reload during the start ended a process          |
       | 123  | 10      | the deadline check missed a link fault that healed |
+      | 2732 | 20      | requests that waited on a link counted as late     |
+      | 2703 | 20      | an endpoint was started by two faults              |
