--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -473,12 +473,18 @@
     """Play a case and exit with its result."""
     record = Record(folder)
     result = NOT_RUN
+    # The processes are ended as well if the script itself is asked to end.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
-        result = asyncio.run(asyncio.wait_for(play(record), 110))
+        result = asyncio.run(asyncio.wait_for(play(record), 115))
     except CouldNotRun as error:
         record(f'could not run: {error}')
     except TimeoutError:
         record('could not run: it took too long')
+    except KeyboardInterrupt:
+        record('could not run: it was asked to end')
+    except Exception as error:
+        record(f'could not run: {error!r}')
     words = {HELD: 'held', BROKEN: 'BROKEN', NOT_RUN: 'not run'}
     record(f'result {result}: the rule was {words[result]}')
     sys.exit(result)
