--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 plays the same without the disruption.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 cd "$(dirname "$0")" && exec python3 case.py
