Place prompts through one VM of each region, by expected time

Each VM placed prompts by loads that are 100 to 250 ms old, so that at the region's capacity all of them chose the engine that had just become free: the time to the first event did not depend on the backlog that the VM saw (median 656 ms; 324 ms on engines that looked empty).

Change: where the settings ask for overload control, or endpoints report their present speed, a VM asks the placing VM of its region, which knows each grant at once and estimates the time to the first event by rank, chunks and recent prefill. Long prompts keep to a part of the engines. The load header is read with a fourth figure.

--- a/features/steps/answer_cuts.py
+++ b/features/steps/answer_cuts.py
@@ -18,13 +18,11 @@
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
 from baobabwharf_daemon.proxy.crash_watch import CrashWatch
-from baobabwharf_daemon.proxy.endpoint_selector import (
-    EndpointSelector,
-    RegionSelector,
-)
+from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.ingress import Ingress
 from baobabwharf_daemon.proxy.load_tracker import LoadTracker
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
+from baobabwharf_daemon.proxy.region_selector import RegionSelector
 from baobabwharf_decisions.proxying.endpoint_table import (
     EndpointRecord,
     EndpointTable,
@@ -100,7 +98,8 @@
     def reset(self) -> None:
         """Forget connections and failures of the cases played so far."""
         self.context.pool.close()
-        self.selector.loads = LoadTracker(self._clock, self.endpoint_table)
+        loads = LoadTracker(self._clock, self.endpoint_table)
+        self.selector.loads = self.selector.endpoints.loads = loads
         self.selector.regions = RegionSelector(
             self.record, self._clock, self._vms, random.Random(1)
         )
--- a/features/steps/odd_input.py
+++ b/features/steps/odd_input.py
@@ -402,10 +402,10 @@
     )
     service = DeployedService('s')
     # Loads are created when they are first asked for.
-    selector._candidates(service, frozenset())
+    selector.endpoints.candidates(service, frozenset(), selector.loads)
     actions = {
-        'choose an endpoint': lambda: selector._candidates(
-            service, frozenset()
+        'choose an endpoint': lambda: selector.endpoints.candidates(
+            service, frozenset(), selector.loads
         ),
         'publish the region slots': selector.own_slots,
     }
--- a/features/unit/outer_names.feature
+++ b/features/unit/outer_names.feature
@@ -26,6 +26,7 @@
       | baobabwharf_attempts_ended_total |
       | baobabwharf_crash_evidence_total |
       | baobabwharf_records_skipped_total |
+      | baobabwharf_placement_asks_total |
       | baobabwharf_request_seconds      |
       | baobabwharf_first_block_seconds  |
       | baobabwharf_log_lines_dropped    |
--- a/packages/daemon/src/baobabwharf_daemon/metrics.py
+++ b/packages/daemon/src/baobabwharf_daemon/metrics.py
@@ -30,6 +30,11 @@
     'Lost answers that had not begun and reports of other VMs, by source.',
     registry=REGISTRY,
 )
+PLACEMENT_ASKS = Counter(
+    'baobabwharf_placement_asks_total',
+    'Asks for an engine by outcome, unanswered ones at the asking VM.',
+    registry=REGISTRY,
+)
 SKIPPED_RECORDS = Counter(
     'baobabwharf_records_skipped_total',
     'Invalid records among valid ones of other VMs and endpoints, by kind.',
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -22,10 +22,10 @@
 from baobabwharf_daemon.gateway.http_server import HttpServer
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.metrics import REVISION
+from baobabwharf_daemon.proxy.adaptive_selector import build_selector
 from baobabwharf_daemon.proxy.caller_connection import CallerListener
 from baobabwharf_daemon.proxy.crash_watch import CrashExchange, CrashWatch
 from baobabwharf_daemon.proxy.dialect import Dialect
-from baobabwharf_daemon.proxy.endpoint_selector import EndpointSelector
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
 from baobabwharf_daemon.proxy.ingress import Ingress
 from baobabwharf_daemon.proxy.metrics_listener import metrics_server
@@ -78,13 +78,15 @@
             address_book, self._client, clock, log, settings.data_folder
         )
         self.endpoint_sync.register(self._server)
-        self._selector = EndpointSelector(
+        selection = build_selector(
+            settings,
             self._record,
             clock,
             self.endpoint_sync.endpoint_table,
             self._limits.membership,
             self._random,
         )
+        self._selector = selection.selector
         crashes = CrashWatch(self._record.vm_id, clock, log)
         self._context = ProxyContext(
             clock, dialect, self._selector, self.endpoint_sync, log, crashes
@@ -102,6 +104,7 @@
         self._exchange_tasks = (
             *peer_exchange.tasks,
             *self._crash_exchange(crashes),
+            *selection.tasks,
         )
         self._ingress = Ingress(
             self._context, peer_exchange.limits, lambda: self._route_table
@@ -296,7 +299,9 @@
         cold_ms = max(
             (service.cold_ms for service in deployment.services), default=0
         )
-        self._selector.evacuate(config.evacuated, cold_ms + _COLD_MARGIN_MS)
+        self._selector.endpoints.evacuate(
+            config.evacuated, cold_ms + _COLD_MARGIN_MS
+        )
         if known is not None and known.deployment == deployment:
             return
         self._route_table = RouteTable(deployment)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -10,11 +10,13 @@
 from baobabwharf_decisions.proxying.attempt_outcomes import AttemptEnd
 from baobabwharf_decisions.proxying.buffer_budget import BufferBudget
 from baobabwharf_decisions.proxying.endpoint_load import EndpointLoad
+from baobabwharf_decisions.proxying.placement_messages import (
+    PlacementProgress,
+)
 
 from baobabwharf_daemon.proxy.connection_pool import ConnectionPool
 from baobabwharf_daemon.proxy.dialect import Dialect, SendMetadata
 from baobabwharf_daemon.proxy.endpoint_connection import EndpointConnection
-from baobabwharf_daemon.proxy.endpoint_selector import AttemptTarget
 from baobabwharf_daemon.proxy.http_messages import (
     Header,
     HttpRequest,
@@ -28,6 +30,7 @@
     remaining_metadata,
 )
 from baobabwharf_daemon.proxy.response_reader import ResponseLoss
+from baobabwharf_daemon.proxy.selection import AttemptTarget, PlacementReports
 
 # Headers between VMs: the metadata of a forwarded request, and whether a
 # refused request may have run.
@@ -84,7 +87,10 @@
         clock: Clock,
         destination: AttemptTarget,
         load: EndpointLoad | None,
+        placements: PlacementReports | None = None,
     ) -> None:
+        self._placements = placements
+        self._percent = 0
         self._pool = pool
         self._dialect = dialect
         self._clock = clock
@@ -93,6 +99,9 @@
         self._pending_tokens = 0
         self._complete = False
         self._load_counted = False
+        self._first_event_reported = False
+        # Set only where the placement tells ranks apart.
+        self._rank: int | None = None
         self.destination = destination
         self.reused = False
         self.refusal_reason = b''
@@ -130,14 +139,22 @@
             return AttemptEnd.LOST
         metadata = self._dialect.read_response(head)
         self._note_leaving(head, metadata)
+        if metadata.load is not None:
+            self._percent = metadata.load.percent or 0
         return OpenedResponse(
             connection, head, metadata, self._classify(head, metadata)
         )
 
     def mark_prefilled(self) -> None:
-        """Record that the endpoint has prefilled the prompt."""
+        """Record that the first event, and so the whole prompt, is done."""
+        if self._pending_tokens or not self._first_event_reported:
+            self._report(self.took_ms, ended=False)
+        self._first_event_reported = True
+        self._release_prefill()
+
+    def _release_prefill(self) -> None:
         if self._load is not None and self._pending_tokens:
-            self._load.mark_prefilled(self._pending_tokens)
+            self._load.mark_prefilled(self._pending_tokens, self._rank)
         self._pending_tokens = 0
 
     @property
@@ -158,7 +175,8 @@
 
     def close(self) -> None:
         """Release the connection; close it if the response is incomplete."""
-        self.mark_prefilled()
+        self._report(None, ended=True)
+        self._release_prefill()
         if self._load_counted and self._load is not None:
             self._load.end()
         self._load_counted = False
@@ -170,10 +188,26 @@
             self._connection.close()
         self._connection = None
 
+    def _report(self, first_event_ms: int | None, *, ended: bool) -> None:
+        """Tell the VM that granted the endpoint how the request goes on."""
+        grant = self.destination.grant
+        if grant is None or self._placements is None:
+            return
+        progress = PlacementProgress(
+            grant.number,
+            first_event_ms,
+            ended=ended,
+            failed=self.sent_ms is None or self.loss is not None,
+            percent=self._percent,
+        )
+        self._placements.report(grant.placing_vm, progress)
+
     def _count_load(self, plan: RequestPlan) -> None:
         if self._load is not None:
+            if self.destination.expectation is not None:
+                self._rank = plan.metadata.urgency
             self._pending_tokens = self._load.begin(
-                plan.metadata.prompt, self._clock.now_ms()
+                plan.metadata.prompt, self._clock.now_ms(), self._rank
             )
             self._load_counted = True
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -49,6 +49,7 @@
     RequestMetadata,
 )
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
+from baobabwharf_daemon.proxy.region_reports import region_report_headers
 from baobabwharf_daemon.proxy.request_handler import RequestHandler
 from baobabwharf_daemon.proxy.request_plan import (
     ForwardMetadata,
@@ -113,24 +114,31 @@
     async def serve_forwarded(self, call: HttpCall) -> None:
         """Handle a request that another VM has validated and charged."""
         metadata = _read_forward_metadata(call)
-        table = self._route_table()
         if metadata is None:
-            refusal: Refusal | None = Refusal(RefusalCode.INVALID_REQUEST)
-        elif table is None:
-            refusal = Refusal(RefusalCode.VM_NOT_READY)
-        else:
-            refusal = await self._run_forwarded(call, metadata, table)
-        if refusal is not None:
-            request_id = None if metadata is None else metadata.request_id
-            self._record_refusal(request_id, refusal, forwarded=True)
-            _refuse_forwarded(call, refusal)
+            refusal = Refusal(RefusalCode.INVALID_REQUEST)
+            self._record_refusal(None, refusal, forwarded=True)
+            _refuse_forwarded(call, refusal, [])
+            return
+        clock = self._context.clock
+        plan = build_plan(metadata, clock.now_ms(), forwarded=True)
+        table = self._route_table()
+        refused = (
+            Refusal(RefusalCode.VM_NOT_READY)
+            if table is None
+            else await self._run_forwarded(call, metadata, plan, table)
+        )
+        if refused is not None:
+            self._record_refusal(metadata.request_id, refused, forwarded=True)
+            report = region_report_headers(plan, clock.now_ms())
+            _refuse_forwarded(call, refused, report)
 
     async def _run_forwarded(
-        self, call: HttpCall, metadata: ForwardMetadata, table: RouteTable
+        self,
+        call: HttpCall,
+        metadata: ForwardMetadata,
+        plan: RequestPlan,
+        table: RouteTable,
     ) -> Refusal | None:
-        plan = build_plan(
-            metadata, self._context.clock.now_ms(), forwarded=True
-        )
         stopping = self._refuse_while_stopping(plan)
         if stopping is not None:
             return stopping
@@ -333,7 +341,9 @@
         return None
 
 
-def _refuse_forwarded(call: HttpCall, refusal: Refusal) -> None:
+def _refuse_forwarded(
+    call: HttpCall, refusal: Refusal, report: list[Header]
+) -> None:
     if call.started:
         call.abort()
         return
@@ -342,6 +352,7 @@
         (OUTCOME_HEADER, NOT_RUN if not_run else MAY_HAVE_RUN)
     ]
     headers.append((REASON_HEADER, refusal.code.value.encode()))
+    headers += report
     if refusal.retry_after_ms is not None:
         headers.append((RETRY_HEADER, b'%d' % refusal.retry_after_ms))
     call.respond(refusal.status, b'Refused', headers, b'')
--- a/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
@@ -1,5 +1,6 @@
 """Exchange loads and spending through relays in a large fleet."""
 
+import random
 from typing import final
 
 import msgspec
@@ -66,7 +67,20 @@
     spending: Spending
 
 
-_Message = RelayCall | RelayAnswer | RelayTotals
+class RelayTransit(msgspec.Struct, frozen=True, tag=True):
+    """Ask a VM to pass totals on to a relay that can't be reached directly."""
+
+    target: VmId
+    totals: RelayTotals
+
+
+class IndirectTotals(msgspec.Struct, frozen=True, tag=True):
+    """Carry totals that another VM passed on."""
+
+    spending: Spending
+
+
+_Message = RelayCall | RelayAnswer | RelayTotals | RelayTransit | IndirectTotals
 
 
 @final
@@ -139,8 +153,10 @@
         membership: MembershipView,
         mode: RelayMode,
         relay_client: RelayClient | None,
+        rng: random.Random | None = None,
     ) -> None:
         super().__init__(own, port)
+        self._rng = rng or random.Random(own.vm_id)
         self._clock = clock
         self._membership = membership
         self._mode = mode
@@ -151,15 +167,12 @@
     def handle_datagram(self, content: bytes, host: str) -> None:
         """Handle a message of a client or of a relay."""
         message: _Message = decode(content, _Message)  # type: ignore[arg-type]
-        now_ms = self._clock.now_ms()
         if isinstance(message, RelayCall):
-            self._load_relay.replace_shares(
-                message.vm_id, message.shares, now_ms
-            )
-            self._spending_relay.apply_client_report(message.spending, now_ms)
-            self.send(encode(self._answer(message)), [host])
-        elif isinstance(message, RelayTotals):
-            self._spending_relay.apply_relay_report(message.spending, now_ms)
+            self._handle_call(message, host)
+        elif isinstance(message, RelayTransit):
+            self._pass_on(message)
+        elif not isinstance(message, RelayAnswer):
+            self._handle_totals(message)
         elif self._relay_client is not None and self._mode.active:
             self._relay_client.handle_answer(message, len(content))
 
@@ -181,6 +194,18 @@
             self.send(next_call[1], hosts)
         return _PERIOD_S if relaying else self._relay_client.pause_s
 
+    def _handle_call(self, call: RelayCall, host: str) -> None:
+        now_ms = self._clock.now_ms()
+        self._load_relay.replace_shares(call.vm_id, call.shares, now_ms)
+        self._spending_relay.apply_client_report(call.spending, now_ms)
+        self.send(encode(self._answer(call)), [host])
+
+    def _handle_totals(self, message: RelayTotals | IndirectTotals) -> None:
+        now_ms = self._clock.now_ms()
+        if isinstance(message, RelayTotals):
+            self._spending_relay.note_direct(message.spending.vm_id, now_ms)
+        self._spending_relay.apply_relay_report(message.spending, now_ms)
+
     def _answer(self, call: RelayCall) -> RelayAnswer:
         return RelayAnswer(
             self._own.vm_id,
@@ -191,12 +216,33 @@
     def _send_totals(self) -> None:
         now_ms = self._clock.now_ms()
         self._load_relay.drop_silent_vms(_CLIENT_SILENCE_TIMEOUT_MS, now_ms)
-        totals = encode(RelayTotals(self._spending_relay.close(now_ms)))
+        spending = self._spending_relay.close(now_ms)
         live = self._membership.live_vms()
         targets = set(self._spending_relay.relays)
         regions = {vm.region for vm in live}
         for region in regions:
             targets.update(relay_candidates(live, region)[:1])
         self.send(
-            totals, self.other_hosts(vm for vm in live if vm.vm_id in targets)
+            encode(RelayTotals(spending)),
+            self.other_hosts(vm for vm in live if vm.vm_id in targets),
         )
+        self._spending_relay.expect(targets, now_ms)
+        for target in self._spending_relay.unheard(targets, now_ms):
+            self._send_indirectly(RelayTransit(target, RelayTotals(spending)))
+
+    def _send_indirectly(self, transit: RelayTransit) -> None:
+        """Send totals through a random VM: any one may lack a path, too."""
+        live = self._membership.live_vms()
+        others = [
+            vm
+            for vm in live
+            if not vm.has_disk
+            and vm.vm_id not in {self._own.vm_id, transit.target}
+        ]
+        if others:
+            self.send(encode(transit), [host_of(self._rng.choice(others))])
+
+    def _pass_on(self, transit: RelayTransit) -> None:
+        live = self._membership.live_vms()
+        hosts = [host_of(vm) for vm in live if vm.vm_id == transit.target]
+        self.send(encode(IndirectTotals(transit.totals.spending)), hosts)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -22,20 +22,25 @@
     caller_headers,
     read_body,
 )
-from baobabwharf_daemon.proxy.endpoint_selector import (
-    AttemptTarget,
-    Exclusions,
-    Selection,
-)
 from baobabwharf_daemon.proxy.http_call import HttpCall
 from baobabwharf_daemon.proxy.http_messages import (
+    Header,
     ResponseHead,
     ResponseMetadata,
     parse_number,
 )
 from baobabwharf_daemon.proxy.proxy_context import ProxyContext
+from baobabwharf_daemon.proxy.region_reports import (
+    read_region_report,
+    region_report_headers,
+)
 from baobabwharf_daemon.proxy.request_plan import RequestPlan
 from baobabwharf_daemon.proxy.response_reader import ResponseLoss
+from baobabwharf_daemon.proxy.selection import (
+    AttemptTarget,
+    Exclusions,
+    Selection,
+)
 
 _SERVER_ERROR = 500
 _MS_PER_S = 1000
@@ -107,7 +112,7 @@
 
     async def _attempt_until_done(self) -> Refusal | None:
         while True:
-            selected = self._select()
+            selected = await self._select()
             if selected.is_error() and self._plan.attempts.may_have_run:
                 return Refusal(RefusalCode.ENDPOINT_FAILED, Executed.UNKNOWN)
             if selected.is_error():
@@ -125,12 +130,17 @@
             if not self._may_retry(ended):
                 return self._plan.attempts.refusal(ended, self._retry_after_ms)
 
-    def _select(self) -> Selection:
+    async def _select(self) -> Selection:
         """Return the next destination unless the request crashes endpoints."""
         judged = self._context.crashes.judge(self._plan.metadata.traits)
         if judged.is_error():
             return Error(judged.error)
         self._verdict = judged.ok
+        adaptive = self._context.selector.adaptive
+        if adaptive is not None and adaptive.applies_to(self._service):
+            return await adaptive.select(
+                self._plan, self._service, self._exclusions
+            )
         return self._context.selector.select(
             self._plan, self._service, self._exclusions
         )
@@ -148,14 +158,16 @@
         load = self._context.selector.load_of(destination)
         self._log_destination(destination, load)
         if destination.record is not None:
-            self._context.selector.note_sent(destination.record)
+            self._context.selector.endpoints.note_sent(destination.record)
             self._context.crashes.note_sent(self._verdict)
+        adaptive = self._context.selector.adaptive
         attempt = Attempt(
             self._context.pool,
             self._context.dialect,
             self._context.clock,
             destination,
             load,
+            None if adaptive is None else adaptive.reports,
         )
         # If the deadline cancels this attempt, the request may have run.
         may_have_run = self._plan.attempts.may_have_run
@@ -183,10 +195,14 @@
             forwarded=self._plan.forwarded,
             unread_tokens=None if load is None else load.total_pending_tokens,
             running=None if load is None else load.total_running,
+            late=self._plan.late or None,
             told_age_ms=None
             if load is None
             else load.oldest_report_age_ms(now_ms),
-            reported=None if load is None else load.describe_sample(now_ms),
+            reported=None if load is None else load.reported.describe(now_ms),
+            expected_ms=None
+            if destination.expectation is None
+            else round(destination.expectation.first_event_ms),
             left_ms=self._plan.deadline_ms - now_ms,
         )
 
@@ -247,6 +263,7 @@
         self._plan.headers_received_ms = self._context.clock.now_ms()
         self._plan.framing = opened.head.framing
         _note_statements(self._context, attempt, opened.metadata)
+        _note_region_report(self._context, self._plan, attempt, opened.head)
         if opened.kind is ResponseKind.RESULT:
             return await self._handle_result(attempt, opened)
         if opened.kind is ResponseKind.FAILURE:
@@ -312,7 +329,10 @@
             if self._call.request.method == HEAD:
                 length = head.length or 0
             self._call.start(
-                head.status, head.reason, caller_headers(head), length
+                head.status,
+                head.reason,
+                _headers(self._context, self._plan, head),
+                length,
             )
             self._call.write(body.content)
             self._call.finish()
@@ -332,7 +352,7 @@
         return self._context.retry_budget.take(self._service.name)
 
     async def _attempt_again(self) -> AttemptEnd | None:
-        selected = self._select()
+        selected = await self._select()
         if selected.is_error():
             return AttemptEnd.FAILED
         return await self._attempt(selected.ok)
@@ -343,7 +363,10 @@
         """Stream the body; reset the caller's connection if it ends early."""
         head = opened.head
         self._call.start(
-            head.status, head.reason, caller_headers(head), head.length
+            head.status,
+            head.reason,
+            _headers(self._context, self._plan, head),
+            head.length,
         )
         self._call.write(first)
         received_bytes = len(first)
@@ -388,6 +411,30 @@
         )
 
 
+def _headers(
+    context: ProxyContext, plan: RequestPlan, head: ResponseHead
+) -> list[Header]:
+    """Return the headers of a response for the caller or the other VM."""
+    report = region_report_headers(plan, context.clock.now_ms())
+    return caller_headers(head) + report
+
+
+def _note_region_report(
+    context: ProxyContext,
+    plan: RequestPlan,
+    attempt: Attempt,
+    head: ResponseHead,
+) -> None:
+    """Store what another region reports about its load."""
+    if attempt.destination.record is not None:
+        return
+    report = read_region_report(head)
+    if report is not None:
+        context.selector.regions.note_report(
+            plan, attempt.destination.region, report, attempt.took_ms
+        )
+
+
 def _note_statements(
     context: ProxyContext, attempt: Attempt, metadata: ResponseMetadata
 ) -> None:
@@ -398,7 +445,7 @@
         return
     now_ms = context.clock.now_ms()
     if metadata.load is not None:
-        load.note_sample(metadata.load, now_ms)
+        context.selector.note_sample(attempt.destination, metadata.load)
     if metadata.pause_ms is not None:
         load.availability.pause(metadata.pause_ms, now_ms)
         context.log.record(
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_plan.py
@@ -10,6 +10,7 @@
     RemainingIntegerMs,
 )
 from baobabwharf_decisions.proxying.attempt_outcomes import AttemptCounts
+from baobabwharf_decisions.proxying.expected_time import LATE_RANK
 from baobabwharf_decisions.proxying.prompt_cache import Prompt
 from baobabwharf_decisions.proxying.request_traits import (
     TraitId,
@@ -19,6 +20,10 @@
 
 from baobabwharf_daemon.proxy.http_messages import Framing
 
+# Fraction of the time to the deadline in which the first event of such a
+# request should come; the rest is for the other events.
+_LATE_SHARE = 0.5
+
 
 class ForwardMetadata(msgspec.Struct, frozen=True):
     """Carry a forwarded request's parameters to another VM.
@@ -68,6 +73,10 @@
     headers_received_ms: int | None = None
     # What ended the body of that response.
     framing: Framing | None = None
+    # No endpoint could serve the request in time, so it is served after others.
+    late: bool = False
+    # Expected time to a first event in this region, without the prompt.
+    region_wait_ms: int | None = None
 
     @property
     def customer_id(self) -> CustomerId | None:
@@ -81,6 +90,15 @@
         homes = self.metadata.homes
         return None if homes is None else frozenset(homes)
 
+    def accept_late(self, now_ms: int) -> None:
+        """Aim at the deadline instead of the target, behind other requests."""
+        self.late = True
+        left_ms = int((self.deadline_ms - now_ms) * _LATE_SHARE)
+        self.target_ms = now_ms + left_ms
+        self.metadata = msgspec.structs.replace(
+            self.metadata, urgency=LATE_RANK
+        )
+
 
 def build_plan(
     metadata: ForwardMetadata, now_ms: int, *, forwarded: bool
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -41,6 +41,10 @@
     relay_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
     # UDP; VMs exchange evidence about prompts that crash endpoints.
     crash_port: int | None = pydantic.Field(default=None, ge=1, le=_MAX_PORT)
+    # UDP; VMs ask one VM of their region which engine takes a request.
+    placement_port: int | None = pydantic.Field(
+        default=None, ge=1, le=_MAX_PORT
+    )
 
     @pydantic.field_validator('host')
     @classmethod
@@ -134,6 +138,9 @@
     # behind NAT.
     address_overrides: dict[str, str] = {}
     drain_deadline_ms: int = pydantic.Field(default=30_000, ge=0)
+    # Place and refuse requests by expected times and customers' shares, also
+    # where endpoints do not report their present speed.
+    overload_control: bool = False
     log: Log = Log()
 
     @pydantic.field_validator('fleet_secret_file')
--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -10,6 +10,10 @@
 from baobabwharf_decisions.proxying.endpoint_availability import (
     EndpointAvailability,
 )
+from baobabwharf_decisions.proxying.engine_profile import (
+    EngineSpeed,
+    PresentSpeed,
+)
 from baobabwharf_decisions.proxying.prefill_rate import DecayingTokenSum
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptCache
 
@@ -19,11 +23,16 @@
 
 
 class LoadSample(msgspec.Struct, frozen=True):
-    """Hold the total load that an endpoint reported about itself."""
+    """Hold the total load that an endpoint reported about itself.
+
+    percent tells how long work takes there now, 100 if as long as usual; None
+    if the endpoint did not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    percent: int | None = None
 
 
 class LoadShare(msgspec.Struct, frozen=True, array_like=True):
@@ -53,6 +62,34 @@
         self.reported_ms = 0
 
 
+@final
+class ReportedLoad:
+    """Hold the load that an endpoint reported last."""
+
+    def __init__(self) -> None:
+        self._sample: LoadSample | None = None
+        self._sampled_ms = 0
+        self.speed = PresentSpeed()
+
+    def note(self, sample: LoadSample, now_ms: int) -> None:
+        """Store a report."""
+        self._sample = sample
+        self._sampled_ms = now_ms
+        if sample.percent is not None:
+            self.speed.note(sample.percent, now_ms)
+
+    def describe(self, now_ms: int) -> str | None:
+        """Describe the last report, for the log; None if there is none."""
+        sample = self._sample
+        if sample is None:
+            return None
+        percent = '' if sample.percent is None else f', {sample.percent}%'
+        return (
+            f'{sample.running} running, {sample.waiting} waiting{percent}, '
+            f'{now_ms - self._sampled_ms} ms ago'
+        )
+
+
 @final
 class EndpointLoad:
     """Track the requests of this VM and its peers at one endpoint."""
@@ -61,8 +98,9 @@
         self.cache = PromptCache(cache_tokens)
         self.running = 0
         self.pending_tokens = 0
-        self.sample: LoadSample | None = None
-        self.sampled_ms = 0
+        # The part of pending_tokens whose rank is known, by rank.
+        self._ranked_tokens: dict[int, int] = {}
+        self.reported = ReportedLoad()
         self.recent_sum = DecayingTokenSum()
         self.burst_sum = DecayingTokenSum(prefill_burst.BURST_WINDOW_MS)
         # The last reported load shares of other VMs of the region.
@@ -138,7 +176,20 @@
             if now_ms - peer.reported_ms <= silence_timeout_ms
         }
 
-    def begin(self, prompt: Prompt, now_ms: int) -> int:
+    def tokens_behind(self, rank: int) -> int:
+        """Return the pending tokens of requests that are less urgent.
+
+        Other VMs do not tell ranks apart, so none of theirs count.
+        """
+        return sum(
+            tokens
+            for other, tokens in self._ranked_tokens.items()
+            if other > rank
+        )
+
+    def begin(
+        self, prompt: Prompt, now_ms: int, rank: int | None = None
+    ) -> int:
         """Count a sent request; return its uncached prompt tokens."""
         uncached = self.cache.uncached_tokens(prompt)
         self.cache.note_prefilled(prompt)
@@ -146,30 +197,26 @@
         self.burst_sum.add(uncached, now_ms)
         self.running += 1
         self.pending_tokens += uncached
+        self._count_rank(rank, uncached)
         return uncached
 
-    def mark_prefilled(self, uncached: int) -> None:
+    def mark_prefilled(self, uncached: int, rank: int | None = None) -> None:
         """Count the uncached tokens of a request as prefilled."""
         self.pending_tokens -= uncached
+        self._count_rank(rank, -uncached)
+
+    def _count_rank(self, rank: int | None, tokens: int) -> None:
+        if rank is not None:
+            known = self._ranked_tokens.get(rank, 0)
+            self._ranked_tokens[rank] = known + tokens
 
     def end(self) -> None:
         """Count a request as finished."""
         self.running -= 1
 
-    def note_sample(self, sample: LoadSample, now_ms: int) -> None:
-        """Store the load that the endpoint reported."""
-        self.sample = sample
-        self.sampled_ms = now_ms
-
-    def describe_sample(self, now_ms: int) -> str | None:
-        """Describe the last load reported by the endpoint, for the log."""
-        sample = self.sample
-        if sample is None:
-            return None
-        return (
-            f'{sample.running} running, {sample.waiting} waiting, '
-            f'{now_ms - self.sampled_ms} ms ago'
-        )
+    def speed(self, now_ms: int) -> EngineSpeed:
+        """Return the speeds of the endpoint at this moment."""
+        return EngineSpeed().scaled(self.reported.speed.factor(now_ms))
 
     def note_outcome(self, failed: bool) -> None:
         """Update the failure share after an attempt."""
--- a/packages/decisions/src/baobabwharf_decisions/proxying/long_prompts.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/long_prompts.py
@@ -32,13 +32,14 @@
 
 def split_engines(
     candidates: Sequence[Candidate],
+    share: float = LONG_PROMPT_ENGINE_SHARE,
 ) -> tuple[list[Candidate], list[Candidate]]:
-    """Return the engines for long prompts and the others.
+    """Return the given share of the engines, for long prompts, and the others.
 
-    A region of one or two engines sets none apart for long prompts.
+    A region of one or two engines sets none apart for long prompts by default.
     """
     ranked = sorted(candidates, key=lambda engine: _rank(engine.endpoint_id))
-    count = round(len(ranked) * LONG_PROMPT_ENGINE_SHARE)
+    count = round(len(ranked) * share)
     return ranked[:count], ranked[count:]
 
 
--- a/packages/decisions/src/baobabwharf_decisions/proxying/region_backoff.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/region_backoff.py
@@ -67,24 +67,30 @@
         now_ms: int,
     ) -> RegionCandidate | None:
         """Return a VM of a region without back-off, at random by its slots."""
-        reachable = [
-            candidate
-            for candidate in candidates
-            if self._vm_until_ms.get(candidate.vm_id, 0) <= now_ms
-        ]
         eligible = [
             candidate
-            for candidate in reachable
+            for candidate in candidates
             if candidate.is_only_region
             or self._region_until_ms.get(
                 (candidate.region, service, urgency), 0
             )
             <= now_ms
         ]
-        weights = [candidate.slots for candidate in eligible]
-        if not eligible or sum(weights) <= 0:
+        return self.choose_reachable(eligible, now_ms)
+
+    def choose_reachable(
+        self, candidates: Iterable[RegionCandidate], now_ms: int
+    ) -> RegionCandidate | None:
+        """Return a VM that could be reached, at random by its region's slots."""
+        reachable = [
+            candidate
+            for candidate in candidates
+            if self._vm_until_ms.get(candidate.vm_id, 0) <= now_ms
+        ]
+        weights = [candidate.slots for candidate in reachable]
+        if not reachable or sum(weights) <= 0:
             return None
-        return self._rng.choices(eligible, weights)[0]
+        return self._rng.choices(reachable, weights)[0]
 
 
 def preferred_region(
