Keep spending totals whole when only one direction of a path is cut

Cause: a relay passed totals on through another VM when it did not hear the other relay. In a cut of one direction that is the side whose datagrams arrive: the relay that hears nothing sent twice, and the one that is not heard sent nothing more. Relays without clients, such as those of a region without entry VMs, were waited for forever, and totals went through a random VM, which has no path when two regions are cut.

Change: totals that are passed on state whether the sender hears the target; the target answers the first such statement at once. Totals are passed on by a VM outside both regions and one inside. Only relays that report, and preferred relays of regions with entry VMs but no reporting relay, are waited for.

Nothing is passed on while all hear each other.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
@@ -9,6 +9,12 @@
 from baobabwharf_core.fleet_config import VmRecord
 from baobabwharf_core.ids import EndpointId, VmId
 from baobabwharf_core.input_types import ExactInteger
+from baobabwharf_decisions.limits.relay_reach import (
+    RelayReach,
+    expected_relays,
+    first_candidates,
+    passing_vms,
+)
 from baobabwharf_decisions.limits.spending import Spending
 from baobabwharf_decisions.limits.spending_relay import SpendingRelay
 from baobabwharf_decisions.membership.relay_selector import (
@@ -68,16 +74,21 @@
 
 
 class RelayTransit(msgspec.Struct, frozen=True, tag=True):
-    """Ask a VM to pass totals on to a relay that can't be reached directly."""
+    """Ask a VM to pass totals on to a relay that can't be reached directly.
+
+    unheard says that the sender does not hear the target directly.
+    """
 
     target: VmId
     totals: RelayTotals
+    unheard: bool = False
 
 
 class IndirectTotals(msgspec.Struct, frozen=True, tag=True):
     """Carry totals that another VM passed on."""
 
     spending: Spending
+    unheard: bool = False
 
 
 _Message = RelayCall | RelayAnswer | RelayTotals | RelayTransit | IndirectTotals
@@ -163,6 +174,8 @@
         self._relay_client = relay_client
         self._load_relay = LoadRelay()
         self._spending_relay = SpendingRelay(own.vm_id, own.incarnation)
+        self._reach = RelayReach(own.vm_id)
+        self._last_totals: RelayTotals | None = None
 
     def handle_datagram(self, content: bytes, host: str) -> None:
         """Handle a message of a client or of a relay."""
@@ -183,6 +196,8 @@
         relaying = self._spending_relay.has_clients
         if relaying:
             self._send_totals()
+        else:
+            self._last_totals = None
         if self._relay_client is None:
             return _PERIOD_S if relaying else _IDLE_S
         live = self._membership.live_vms()
@@ -202,9 +217,16 @@
 
     def _handle_totals(self, message: RelayTotals | IndirectTotals) -> None:
         now_ms = self._clock.now_ms()
-        if isinstance(message, RelayTotals):
-            self._spending_relay.note_direct(message.spending.vm_id, now_ms)
+        sender = message.spending.vm_id
         self._spending_relay.apply_relay_report(message.spending, now_ms)
+        if isinstance(message, RelayTotals):
+            self._reach.note_direct(sender, now_ms)
+        elif message.unheard:
+            is_news = self._reach.note_unheard_by(sender, now_ms)
+            # Waiting for the next period could exceed the silence timeout
+            # there.
+            if is_news and self._last_totals is not None:
+                self._send_indirectly(sender, self._last_totals)
 
     def _answer(self, call: RelayCall) -> RelayAnswer:
         return RelayAnswer(
@@ -218,31 +240,29 @@
         self._load_relay.drop_silent_vms(_CLIENT_SILENCE_TIMEOUT_MS, now_ms)
         spending = self._spending_relay.close(now_ms)
         live = self._membership.live_vms()
-        targets = set(self._spending_relay.relays)
-        regions = {vm.region for vm in live}
-        for region in regions:
-            targets.update(relay_candidates(live, region)[:1])
+        reporting = {self._own.vm_id, *self._spending_relay.relays}
+        targets = reporting.union(first_candidates(live).values())
+        totals = RelayTotals(spending)
         self.send(
-            encode(RelayTotals(spending)),
+            encode(totals),
             self.other_hosts(vm for vm in live if vm.vm_id in targets),
         )
-        self._spending_relay.expect(targets, now_ms)
-        for target in self._spending_relay.unheard(targets, now_ms):
-            self._send_indirectly(RelayTransit(target, RelayTotals(spending)))
+        self._last_totals = totals
+        expected = expected_relays(live, reporting)
+        for target in self._reach.unreached(expected, now_ms):
+            self._send_indirectly(target, totals)
 
-    def _send_indirectly(self, transit: RelayTransit) -> None:
-        """Send totals through a random VM: any one may lack a path, too."""
+    def _send_indirectly(self, target: VmId, totals: RelayTotals) -> None:
         live = self._membership.live_vms()
-        others = [
-            vm
-            for vm in live
-            if not vm.has_disk
-            and vm.vm_id not in {self._own.vm_id, transit.target}
-        ]
-        if others:
-            self.send(encode(transit), [host_of(self._rng.choice(others))])
+        unheard = self._reach.is_unheard(target, self._clock.now_ms())
+        content = encode(RelayTransit(target, totals, unheard))
+        for record in live:
+            if record.vm_id == target:
+                passing = passing_vms(live, self._own, record, self._rng)
+                self.send(content, map(host_of, passing))
 
     def _pass_on(self, transit: RelayTransit) -> None:
         live = self._membership.live_vms()
         hosts = [host_of(vm) for vm in live if vm.vm_id == transit.target]
-        self.send(encode(IndirectTotals(transit.totals.spending)), hosts)
+        passed = IndirectTotals(transit.totals.spending, transit.unheard)
+        self.send(encode(passed), hosts)
--- a/packages/decisions/src/baobabwharf_decisions/limits/spending_relay.py
+++ b/packages/decisions/src/baobabwharf_decisions/limits/spending_relay.py
@@ -10,7 +10,6 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
 from typing import final
 
 import msgspec
@@ -30,9 +29,6 @@
 # A client or relay that is silent for longer is left out of the sums; equal to
 # the time after which meters themselves treat a VM as silent.
 SILENCE_TIMEOUT_MS = 600
-# A relay that is silent for several periods may only be out of direct reach, so
-# that sums are also sent through another VM.
-INDIRECT_AFTER_MS = 250
 
 
 class _ClosedPeriod(msgspec.Struct, frozen=True):
@@ -56,7 +52,6 @@
         self._number = 0
         self._clients: dict[VmId, LastReport] = {}
         self._relays: dict[VmId, LastReport] = {}
-        self._heard_ms: dict[VmId, int] = {}
 
     @property
     def has_clients(self) -> bool:
@@ -68,28 +63,6 @@
         """Return the relays that recently reported to this one."""
         return tuple(self._relays)
 
-    def unheard(self, relays: Iterable[VmId], now_ms: int) -> list[VmId]:
-        """Return the relays that are to be reached through another VM.
-
-        A cut between two VMs often affects both directions.
-        """
-        return [
-            vm_id
-            for vm_id in relays
-            if vm_id != self._own
-            and now_ms - self._heard_ms.get(vm_id, now_ms) > INDIRECT_AFTER_MS
-        ]
-
-    def note_direct(self, vm_id: VmId, now_ms: int) -> None:
-        """Record that a relay's datagram arrived without another VM."""
-        self._heard_ms[vm_id] = now_ms
-
-    def expect(self, relays: Iterable[VmId], now_ms: int) -> None:
-        """Begin to measure the silence of relays, and forget all others."""
-        self._heard_ms = {
-            vm_id: self._heard_ms.get(vm_id, now_ms) for vm_id in relays
-        }
-
     def apply_client_report(self, spending: Spending, now_ms: int) -> None:
         """Add a report of a client."""
         self._clients[spending.vm_id] = LastReport(1, now_ms)
