Leave out a region that answers no request for a second

Cause: requests that are forwarded in time for their first event chose among regions by reports alone. When a region is cut off, connections that are kept open still take requests, so no VM there counted as unreachable, its reports aged within 600 ms, and after that every request could be sent there.

Change: a VM records the first request without an answer of each region. After a second the region counts as cut off and gets one request a second until it answers.

--- a/packages/daemon/src/baobabwharf_daemon/proxy/region_selector.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/region_selector.py
@@ -75,9 +75,13 @@
                 _outlook_key(plan, candidate.region), now_ms
             )
             <= bound_ms
+            and not self.outlook.is_cut_off(candidate.region, now_ms)
         ]
         candidate = self._backoff.choose_reachable(in_time, now_ms)
-        return None if candidate is None else self._target(candidate)
+        if candidate is None:
+            return None
+        self.outlook.note_sent(candidate.region, now_ms)
+        return self._target(candidate)
 
     def describe(self, plan: RequestPlan) -> str:
         """Describe what is known of the other regions, for the log."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_handler.py
@@ -428,9 +428,11 @@
     """Store what another region reports about its load."""
     if attempt.destination.record is not None:
         return
+    regions = context.selector.regions
+    regions.outlook.note_answer(attempt.destination.region)
     report = read_region_report(head)
     if report is not None:
-        context.selector.regions.note_report(
+        regions.note_report(
             plan, attempt.destination.region, report, attempt.took_ms
         )
 
