--- a/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/endpoint_load.py
@@ -11,10 +11,10 @@
     EndpointAvailability,
 )
 from baobabwharf_decisions.proxying.engine_profile import (
+    EngineProfile,
     EngineSpeed,
     PresentSpeed,
 )
-from baobabwharf_decisions.proxying.prefill_backlog import PrefillBacklog
 from baobabwharf_decisions.proxying.prefill_rate import DecayingTokenSum
 from baobabwharf_decisions.proxying.prompt_cache import Prompt, PromptCache
 
@@ -99,8 +99,6 @@
         self.cache = PromptCache(cache_tokens)
         self.running = 0
         self.pending_tokens = 0
-        # Only of requests whose rank is known.
-        self.backlog = PrefillBacklog()
         self.reported = ReportedLoad()
         self.recent_sum = DecayingTokenSum()
         self.burst_sum = DecayingTokenSum(prefill_burst.BURST_WINDOW_MS)
@@ -108,16 +106,17 @@
         self.peer_loads: dict[VmId, PeerLoad] = {}
         self.failure_share = 0.0
         self.availability = EndpointAvailability()
+        self.profile = EngineProfile()
+        # The part of pending_tokens whose rank is known.
+        self._ranked_tokens = 0
 
     @property
     def total_pending_tokens(self) -> int:
         """Return the prompt tokens of all VMs that await prefill."""
-        return self.pending_tokens + self.peer_pending_tokens
-
-    @property
-    def peer_pending_tokens(self) -> int:
-        """Return the prompt tokens of other VMs that await prefill."""
-        return sum(peer.pending_tokens for peer in self.peer_loads.values())
+        peer_tokens = sum(
+            peer.pending_tokens for peer in self.peer_loads.values()
+        )
+        return self.pending_tokens + peer_tokens
 
     @property
     def total_running(self) -> int:
@@ -179,6 +178,10 @@
             if now_ms - peer.reported_ms <= silence_timeout_ms
         }
 
+    def unranked_tokens(self) -> int:
+        """Return the pending tokens of all VMs whose rank is not known."""
+        return max(0, self.total_pending_tokens - self._ranked_tokens)
+
     def begin(
         self, prompt: Prompt, now_ms: int, rank: int | None = None
     ) -> int:
@@ -190,18 +193,19 @@
         self.running += 1
         self.pending_tokens += uncached
         if rank is not None:
-            self.follow_backlog(now_ms)
-            self.backlog.add(rank, uncached)
+            # What was queued before is worked off at the speed until now.
+            speed = self.speed(now_ms).prefill_tokens_per_ms
+            self.profile.queue.advance(speed, now_ms)
+            self.profile.queue.add(rank, uncached, now_ms)
+            self._ranked_tokens += uncached
         return uncached
 
-    def follow_backlog(self, now_ms: int) -> PrefillBacklog:
-        """Return the backlog as it is expected to be at now_ms."""
-        self.backlog.drain(self.speed(now_ms).prefill_tokens_per_ms, now_ms)
-        return self.backlog
-
-    def mark_prefilled(self, uncached: int) -> None:
+    def mark_prefilled(self, uncached: int, rank: int | None = None) -> None:
         """Count the uncached tokens of a request as prefilled."""
         self.pending_tokens -= uncached
+        if rank is not None:
+            self.profile.queue.remove(rank, uncached)
+            self._ranked_tokens -= uncached
 
     def end(self) -> None:
         """Count a request as finished."""
@@ -209,7 +213,8 @@
 
     def speed(self, now_ms: int) -> EngineSpeed:
         """Return the speeds of the endpoint at this moment."""
-        return EngineSpeed().scaled(self.reported.speed.factor(now_ms))
+        present = self.reported.speed.factor(now_ms)
+        return self.profile.speed(now_ms).scaled(present)
 
     def note_outcome(self, failed: bool) -> None:
         """Update the failure share after an attempt."""
@@ -224,3 +229,5 @@
     endpoint_id: EndpointId
     load: EndpointLoad
     slots: int
+    # Tokens that the engine's memory holds, None if unknown.
+    memory_tokens: int | None = None
--- a/packages/decisions/src/baobabwharf_decisions/proxying/placement_ledger.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/placement_ledger.py
@@ -13,17 +13,29 @@
 from typing import final
 
 import msgspec
-from baobabwharf_core.ids import VmId
+from baobabwharf_core.ids import ServiceId, VmId
 
 from baobabwharf_decisions.proxying.adaptive_placement import (
     AdaptivePlacement,
     Placement,
 )
+from baobabwharf_decisions.proxying.awaited_events import (
+    AwaitedEvent,
+    AwaitedEvents,
+)
 from baobabwharf_decisions.proxying.endpoint_load import (
     Candidate,
     EndpointLoad,
 )
-from baobabwharf_decisions.proxying.expected_time import EngineRequest
+from baobabwharf_decisions.proxying.engine_memory import EngineMemory, Holding
+from baobabwharf_decisions.proxying.engine_profile import (
+    EngineWork,
+    ServiceSpeed,
+)
+from baobabwharf_decisions.proxying.expected_time import (
+    LATE_RANK,
+    EngineRequest,
+)
 from baobabwharf_decisions.proxying.placement_messages import (
     PlacementAsk,
     PlacementGrant,
@@ -41,10 +53,14 @@
 class _Grant(msgspec.Struct):
     load: EndpointLoad
     uncached: int
-    expected_ms: float
-    # Corrections of the backlog until the estimate.
-    corrected_ms: float
+    rank: int
     expires_ms: int
+    holding: Holding
+    work: EngineWork | None
+    # How many times as long as usual work took when the engine was granted.
+    present_factor: float
+    # None for late requests, which others overtake at any time.
+    event: AwaitedEvent | None = None
     prefilled: bool = False
 
 
@@ -56,6 +72,9 @@
         self._placement = placement
         self._work_mix = WorkMix()
         self._grants: dict[tuple[VmId, int], _Grant] = {}
+        self._memory = EngineMemory()
+        self._speeds: dict[ServiceId, ServiceSpeed] = {}
+        self._events = AwaitedEvents()
         self._swept_ms = 0
 
     @property
@@ -81,8 +100,12 @@
             now_ms,
             tokens_per_event,
         )
+        self._apply_speeds(ask.service, candidates)
+        self._events.check_overdue(candidates, now_ms)
         placed = self._placement.choose(
-            candidates, request, self._work_mix.long_share(now_ms)
+            self._memory.fitting(candidates, ask.held_tokens),
+            request,
+            self._work_mix.long_share(now_ms),
         )
         if placed is None:
             wait_ms = self._placement.shortest_wait_ms(candidates, request)
@@ -106,8 +129,10 @@
             return
         if progress.percent:
             grant.load.reported.speed.note(progress.percent, now_ms)
-        if progress.first_event_ms is not None:
-            self._correct(grant, progress.first_event_ms, now_ms)
+        if progress.first_event_ms is not None and not grant.prefilled:
+            _learn(grant, progress.first_event_ms, now_ms)
+        if grant.event is not None:
+            self._events.settle(grant.event, progress.first_event_ms, now_ms)
         self._mark_prefilled(grant)
         if progress.ended:
             grant.load.note_outcome(progress.failed)
@@ -134,26 +159,37 @@
         self._grants[vm_id, ask.number] = _Grant(
             load,
             uncached,
-            placed.expectation.first_event_ms,
-            load.backlog.corrected_ms,
+            request.rank,
             now_ms + ask.deadline_left_ms + _EXPIRY_MARGIN_MS,
+            self._memory.hold(placed.candidate, ask.held_tokens),
+            placed.expectation.work,
+            load.reported.speed.factor(now_ms),
+            self._await_event(placed, request),
         )
 
-    def _correct(self, grant: _Grant, first_event_ms: int, now_ms: int) -> None:
-        """Correct the backlog of an engine by an observed time, once."""
-        if grant.prefilled:
-            return
-        speed = grant.load.speed(now_ms)
-        grant.load.follow_backlog(now_ms).correct(
-            first_event_ms - grant.expected_ms,
-            grant.corrected_ms,
-            speed.prefill_tokens_per_ms,
+    def _await_event(
+        self, placed: Placement, request: EngineRequest
+    ) -> AwaitedEvent | None:
+        if request.rank >= LATE_RANK:
+            return None
+        return self._events.add(
+            placed.candidate.load,
+            placed.expectation.first_event_ms,
+            request.now_ms,
         )
 
+    def _apply_speeds(
+        self, service: ServiceId, candidates: Sequence[Candidate]
+    ) -> None:
+        """Let new engines, also restarted ones, start from their service's."""
+        speed = self._speeds.setdefault(service, ServiceSpeed())
+        for candidate in candidates:
+            candidate.load.profile.service = speed
+
     def _mark_prefilled(self, grant: _Grant) -> None:
         if not grant.prefilled:
             grant.prefilled = True
-            grant.load.mark_prefilled(grant.uncached)
+            grant.load.mark_prefilled(grant.uncached, grant.rank)
 
     def _sweep(self, now_ms: int) -> None:
         if now_ms - self._swept_ms < _SWEEP_MS:
@@ -165,5 +201,17 @@
 
     def _drop(self, key: tuple[VmId, int], grant: _Grant) -> None:
         self._mark_prefilled(grant)
+        if grant.event is not None:
+            grant.event.settled = True
         grant.load.end()
+        grant.holding.release()
         self._grants.pop(key)
+
+
+def _learn(grant: _Grant, observed_ms: int, now_ms: int) -> None:
+    """Learn from a first event, whose engine may have changed its speed."""
+    if grant.work is None:
+        return
+    reported = grant.load.reported.speed.factor(now_ms)
+    present = (grant.present_factor + reported) / 2
+    grant.load.profile.note(grant.work.scaled(present), observed_ms, now_ms)
