Send half the control bytes between regions under overload control

Cause: measured with the real encoders at 94 VMs in 3 regions, with 28 bytes of headers a datagram and an estimate of 150 a call: evidence of 6 crashed engines took 1.14 MB/s between regions, gossip 0.52 MB/s in the 50 s after a start (0.38 for probes with the records of joining VMs, 0.15 for summaries of slots, which all 89 entry VMs publish), totals of relays 0.06 MB/s by their sizes. Between the zones calls of relays and their answers take up to 0.53 MB/s, asks for placement 0.09 MB/s and renewals of endpoints 0.07 MB/s in the largest region.

Change, where the settings ask for overload control: three of four probes go to the own region; two VMs of a region publish its slots; evidence is repeated to other regions every fourth time, new evidence still goes to all at once; calls of relays leave out the loads of engines, which the placing VM knows, and are bounded to 3,000 bytes a second instead of 6,000. Other deployments send what they sent.

--- a/packages/daemon/src/baobabwharf_daemon/membership_task.py
+++ b/packages/daemon/src/baobabwharf_daemon/membership_task.py
@@ -97,6 +97,7 @@
             ),
             rng,
             FreezeDetector(clock.now_ms(), clock.wall_ms()),
+            prefer_region=settings.overload_control,
         )
 
     @property
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -128,7 +128,11 @@
         self._started: list[Task] = []
         self._metrics: HttpServer | None = None
         self._region_slots = RegionSlots(
-            clock, self._record, self._selector, self._limits.membership
+            clock,
+            self._record,
+            self._selector,
+            self._limits.membership,
+            few_publishers=settings.overload_control,
         )
 
     @property
@@ -233,6 +237,7 @@
                 self._clock,
                 self._limits.membership,
                 crashes.blame,
+                fewer_far_repeats=self._settings.overload_control,
             ),
         )
 
--- a/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/crash_watch.py
@@ -24,6 +24,7 @@
 from baobabwharf_daemon.proxy.attempt import Attempt
 from baobabwharf_daemon.proxy.datagrams import DatagramTask
 from baobabwharf_daemon.proxy.request_plan import ForwardMetadata
+from baobabwharf_daemon.vm_records import host_of
 
 # Crashes may follow each other within the delay between regions.
 _PERIOD_S = 0.05
@@ -31,6 +32,10 @@
 # grows with the fleet, so that each VM sends at most 50 datagrams per second.
 _REPEAT_MS = 500
 _REPEAT_PER_VM_MS = 20
+# Under overload control every this many repeats go to other regions: new
+# evidence is sent to all at once, and a crash is mostly repeated where the
+# endpoints are.
+_FAR_REPEATS = 4
 # A VM that has left the fleet still serves callers until it has drained.
 _STOPPING_MS = 10_000
 
@@ -122,11 +127,15 @@
         clock: Clock,
         members: MembershipView,
         blame: CrashBlame,
+        *,
+        fewer_far_repeats: bool = False,
     ) -> None:
         super().__init__(own, port)
         self._clock = clock
         self._members = members
         self._blame = blame
+        self._fewer_far_repeats = fewer_far_repeats
+        self._repeats = 0
         self._sequence = clock.wall_ms()
         self._sent_ms = 0
         self._newest: dict[VmId, int] = {}
@@ -148,11 +157,25 @@
         self._blame.drop_expired(now_ms)
         hosts = self._hosts(now_ms)
         repeat_ms = max(_REPEAT_MS, _REPEAT_PER_VM_MS * len(hosts))
-        if self._blame.changed or now_ms - self._sent_ms >= repeat_ms:
+        if self._blame.changed:
             self._sent_ms = now_ms
             self._send_report(hosts, now_ms)
+        elif now_ms - self._sent_ms >= repeat_ms:
+            self._sent_ms = now_ms
+            self._repeats += 1
+            self._send_report(self._repeat_hosts(hosts), now_ms)
         return _PERIOD_S
 
+    def _repeat_hosts(self, hosts: list[str]) -> list[str]:
+        if not self._fewer_far_repeats or not self._repeats % _FAR_REPEATS:
+            return hosts
+        far = {
+            host_of(vm)
+            for vm in self._members.live_vms()
+            if vm.region != self._own.region
+        }
+        return [host for host in hosts if host not in far]
+
     def _hosts(self, now_ms: int) -> list[str]:
         """Return the hosts to send to, including VMs that are stopping."""
         live = self.other_hosts(self._members.live_vms())
--- a/packages/daemon/src/baobabwharf_daemon/proxy/load_tracker.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/load_tracker.py
@@ -68,6 +68,16 @@
             if share != NO_LOAD
         }
 
+    def own_plain_shares(self) -> dict[EndpointId, LoadShare]:
+        """Return this VM's shares of endpoints that are not engines."""
+        entries = self._endpoint_table.entries
+        return {
+            endpoint_id: share
+            for endpoint_id, share in self.own_shares().items()
+            if endpoint_id in entries
+            and entries[endpoint_id].record.service not in self._cache_tokens
+        }
+
     def update_shares(
         self, vm_id: VmId, shares: Mapping[EndpointId, LoadShare]
     ) -> None:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/peer_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/peer_exchange.py
@@ -56,7 +56,15 @@
     metering = Metering(
         own, ports.meter_port, clock, limits.membership, config_source, mode
     )
-    relay_client = RelayClient(own, loads, metering, clock, log)
+    relay_client = RelayClient(
+        own,
+        loads,
+        metering,
+        clock,
+        log,
+        plain_only=settings.overload_control
+        and ports.placement_port is not None,
+    )
     relay = RelayExchange(
         own, ports.relay_port, clock, limits.membership, mode, relay_client
     )
--- a/packages/daemon/src/baobabwharf_daemon/proxy/region_slots.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/region_slots.py
@@ -10,6 +10,7 @@
 from baobabwharf_core.input_types import Amount
 from baobabwharf_decisions.membership.gossip_store import Summary
 from baobabwharf_decisions.membership.proxy_vms import forwarding_vms_of
+from baobabwharf_decisions.membership.relay_selector import relay_candidates
 
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.membership_task import MembershipTask
@@ -17,6 +18,9 @@
 
 _TOPIC = 'slots'
 _PERIOD_MS = 500
+# All VMs of a region publish the same slots and each summary is gossiped to the
+# whole fleet, so under overload control only this many publish; one may fail.
+_PUBLISHERS = 2
 
 _log = get_logger('slots')
 
@@ -31,19 +35,28 @@
         own: VmRecord,
         selector: EndpointSelector,
         peers: MembershipTask,
+        *,
+        few_publishers: bool = False,
     ) -> None:
         self._clock = clock
         self._own = own
         self._selector = selector
         self._peers = peers
+        self._few_publishers = few_publishers
         self._published_ms = 0
         self._published = b''
+        self._newest: dict[RegionId, int] = {}
         peers.listeners.add_summary_listener(self._on_summary)
 
     def publish(self) -> None:
-        """Publish the slots if they changed and this VM is a proxy."""
+        """Publish the slots if they changed and this VM publishes them."""
         now_ms = self._clock.now_ms()
-        if now_ms - self._published_ms < _PERIOD_MS or not self._is_proxy():
+        if now_ms - self._published_ms < _PERIOD_MS:
+            return
+        if not self._is_publisher():
+            if self._few_publishers:
+                # Another VM publishes meanwhile, so old slots become invalid.
+                self._published = b''
             return
         payload = encode(self._selector.own_slots())
         if payload != self._published:
@@ -52,14 +65,23 @@
             version = self._clock.wall_ms()
             self._peers.publish_summary(_TOPIC, version, payload)
 
-    def _is_proxy(self) -> bool:
-        proxies = forwarding_vms_of(self._peers.live_vms(), self._own.region)
+    def _is_publisher(self) -> bool:
+        live = self._peers.live_vms()
+        if self._few_publishers:
+            publishers = relay_candidates(live, self._own.region)
+            return self._own.vm_id in publishers[:_PUBLISHERS]
+        proxies = forwarding_vms_of(live, self._own.region)
         return any(vm.vm_id == self._own.vm_id for vm in proxies)
 
     def _on_summary(self, summary: Summary) -> None:
         region = self._region_of(summary.origin)
         if summary.topic != _TOPIC or region is None:
             return
+        if self._few_publishers:
+            # A VM that has stopped publishing still repeats its last summary.
+            if summary.version < self._newest.get(region, 0):
+                return
+            self._newest[region] = summary.version
         try:
             slots = decode(summary.payload, dict[ServiceId, Amount])
         except msgspec.DecodeError as fault:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/relay_exchange.py
@@ -37,6 +37,9 @@
 # Traffic that one client may cause, of the 14 KB/s per VM allowed for control
 # traffic.
 _BYTES_PER_S = 6000
+# The same without the loads of engines, which are half of a call and its answer
+# at 15 engines, so that calls are as frequent.
+_PLAIN_BYTES_PER_S = 3000
 # A VM without clients only checks whether it has become a relay.
 _IDLE_S = 0.5
 # A relay drops clients silent for this long; they call at least every few
@@ -105,8 +108,13 @@
         metering: Metering,
         clock: Clock,
         log: DecisionLog,
+        *,
+        plain_only: bool = False,
     ) -> None:
         self._own = own
+        # The placing VM of the region places the requests of engines and knows
+        # their loads, so that calls need not carry them.
+        self._plain_only = plain_only
         self._loads = loads
         self._metering = metering
         self._clock = clock
@@ -119,7 +127,8 @@
     def pause_s(self) -> float:
         """Return the delay until the next call, longer for larger messages."""
         size = self._call_bytes + self._answer_bytes
-        return max(_PERIOD_S, size / _BYTES_PER_S)
+        rate = _PLAIN_BYTES_PER_S if self._plain_only else _BYTES_PER_S
+        return max(_PERIOD_S, size / rate)
 
     def call(self, ranked: list[VmId]) -> tuple[VmId, bytes] | None:
         """Return the relay to call next and the message for it."""
@@ -133,13 +142,18 @@
             RelayCall(
                 self._own.vm_id,
                 self._metering.newest_period(relay),
-                self._loads.own_shares(),
+                self._shares(),
                 self._metering.report(),
             )
         )
         self._call_bytes = len(content)
         return relay, content
 
+    def _shares(self) -> Shares:
+        if self._plain_only:
+            return self._loads.own_plain_shares()
+        return self._loads.own_shares()
+
     def handle_answer(self, answer: RelayAnswer, size: int) -> None:
         """Apply the answer of the current relay."""
         if answer.vm_id != self._relay_selector.current:
--- a/packages/decisions/src/baobabwharf_decisions/membership/core.py
+++ b/packages/decisions/src/baobabwharf_decisions/membership/core.py
@@ -58,6 +58,8 @@
         callbacks: Callbacks,
         rng: random.Random,
         detector: FreezeDetector,
+        *,
+        prefer_region: bool = False,
     ) -> None:
         self._own = Identity(record)
         self._callbacks = callbacks
@@ -71,7 +73,9 @@
         self._transitions = MemberTransitions(
             self._table, self._gossip, self._on_change
         )
-        self._schedule = ProbeSchedule(rng)
+        self._schedule = ProbeSchedule(
+            rng, record.region if prefer_region else None
+        )
         self._pending_probes = PendingProbes()
         self.message_builder = MessageBuilder(
             self._own,
