List entry VMs in proportion to what they can carry

Change: the adapter reads the limits of a VM (processor share times cores, memory, link, descriptors) where the settings name the contract of overload; the scarcest one, relative to the stated size of a VM, is the capacity in the record of the VM. A VM is left out of the answers of a part of the seconds in proportion to the largest listed one. The largest are always listed, and all where capacities are alike or unknown.

Result (test): 30 VMs of five capacities from 30 to 258 are picked within a fifth of their share over 4,000 seconds.

Also a run over real sockets of relays of two regions that cannot reach each other: it fails when nothing is passed on.

--- a/features/steps/relay_exchange.py
+++ b/features/steps/relay_exchange.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable
 
+import msgspec
 from baobabwharf_core.clock import SystemClock
 from baobabwharf_core.deployment import DeployedService, EngineSpec
 from baobabwharf_core.fleet_config import Customer, FleetConfig, VmRecord
@@ -109,6 +110,7 @@
             vms={one.vm_id: one for one in known},
         )
         self.stopped: set[str] = set()
+        self.is_cut = False
         self.tokens = self.spent = 0
         self.tokens_to_refuse = 4000
         self.seen_tokens = -1
@@ -129,6 +131,9 @@
             for disk in self.disks
             if disk.vm_id not in self.stopped
         ]
+        if self.is_cut:
+            for relay in relays:
+                cut_off(relay, [disk.vm_id for disk in self.disks])
         tasks = [*relays, *(one.exchange for one in vms)]
         for task in tasks:
             await task.start()
@@ -145,6 +150,7 @@
         self.own_seen_tokens = vms[0].pending_tokens()
         reserved = await vms[1].metering.reserve('c', self.tokens_to_refuse, 0)
         self.refused = reserved.is_error()
+        self.description = vms[1].metering._meter.describe('c', clock.now_ms())
         self.relays = [
             [
                 fields['relay']
@@ -157,6 +163,17 @@
             await task.stop()
 
 
+def cut_off(relay: RelayExchange, names: list[str]) -> None:
+    """Drop what a relay sends to itself or another disk VM."""
+    send = relay.send
+    hosts = {
+        one.peer_address.partition(':')[0]
+        for one in relay._membership.live_vms()
+        if one.vm_id in names
+    }
+    relay.send = lambda content, to: send(content, set(to) - hosts)
+
+
 async def poll(check: Callable[[], bool]) -> None:
     """Wait until a check returns true, for 3 s at most."""
     for _poll in range(150):
@@ -175,6 +192,27 @@
     context.relay_fleet.stopped.add('d0')
 
 
+@when("the disk VMs are in two regions and can't reach each other")
+def two_regions(context: Context) -> None:
+    fleet = context.relay_fleet
+    fleet.is_cut = True
+    for vms in (fleet.disks, fleet.entries):
+        vms[1] = msgspec.structs.replace(vms[1], region='r2')
+    fleet.live = FixedView(fleet.disks + fleet.entries)
+
+
+@then(
+    'the second refuses to spend {tokens:d} once relays have passed on totals'
+)
+def refuses_after_transit(context: Context, tokens: int) -> None:
+    # Loads stay in their region, so that there is none to wait for; spending
+    # takes the detection and two paths.
+    asyncio.run(context.relay_fleet.run(0))
+    refuses(context, tokens)
+    # Two of twenty VMs; without the totals of the other relay it is one.
+    assert 'share 0.10' in context.relay_fleet.description
+
+
 @when(
     'the first has sent an endpoint {tokens:d} tokens and spent {spent:d} of {burst:d}'
 )
--- a/features/steps/vm_directory.py
+++ b/features/steps/vm_directory.py
@@ -1,13 +1,20 @@
 """Ask the directory while entry VMs of some regions are missing."""
 
+import collections
 import itertools
+import json
+import tempfile
+from pathlib import Path
 
+import msgspec
 from baobabwharf_core.deployment import DeployedRoute, Deployment, RouteKind
 from baobabwharf_core.fleet_config import VmRecord
 from baobabwharf_daemon.proxy.vm_directory import entry_addresses
+from baobabwharf_daemon.vm_records import own_record
 from baobabwharf_decisions.proxying.routes import RouteTable
-from behave import given, then
+from behave import given, then, when
 from behave.runner import Context
+from platform_decoding import node
 
 _REGIONS = ('tunis', 'sfax', 'sousse')
 _HOST = 'H.example'
@@ -94,3 +101,58 @@
             expected = expected or {f'{one}:2' for one in bound}
             expected = expected or {f'{one}:1' for one in live}
             assert set(named) == expected, (named, live, stopping, region)
+
+
+@given('entry VMs of a region with capacities {capacities}')
+def unlike_vms(context: Context, capacities: str) -> None:
+    numbers = [int(one) for one in capacities.replace(' and ', ', ').split(',')]
+    # Many of each, as a caller picks one of the listed.
+    context.entry_vms = [
+        msgspec.structs.replace(
+            _vm('tunis', has_disk=False, port=port), capacity=capacity
+        )
+        for port, capacity in enumerate(numbers * 6)
+    ]
+
+
+@when('a caller resolves the host in each of {count:d} seconds')
+def resolves(context: Context, count: int) -> None:
+    context.answers = [
+        entry_addresses(context.entry_vms, (), 'tunis', frozenset(), second)
+        for second in range(count)
+    ]
+
+
+@then('a VM is picked in proportion to its capacity, within a fifth')
+def in_proportion(context: Context) -> None:
+    picked = collections.Counter()
+    for listed in context.answers:
+        for address in listed:
+            picked[address] += 1 / len(listed)
+    total = sum(vm.capacity for vm in context.entry_vms)
+    for vm in context.entry_vms:
+        share = picked[vm.caller_url[7:]] / len(context.answers)
+        assert 0.8 <= share / (vm.capacity / total) <= 1.2, (vm.capacity, share)
+
+
+@then('the largest VM is always listed')
+def largest_listed(context: Context) -> None:
+    largest = max(context.entry_vms, key=lambda vm: vm.capacity)
+    assert all(largest.caller_url[7:] in one for one in context.answers)
+
+
+@then('all VMs are always listed')
+def all_listed(context: Context) -> None:
+    assert {len(one) for one in context.answers} == {len(context.entry_vms)}
+
+
+@then(
+    'a settings file with the limits {limits} states a capacity of {expected:d}'
+)
+def stated_capacity(context: Context, limits: str, expected: int) -> None:
+    context.path = Path(tempfile.mkdtemp())
+    stated = json.loads(limits)
+    loaded = node(context, limits=stated, contracts=['pressure']).ok.settings
+    assert own_record(loaded).capacity == expected, loaded.capacity
+    # Deployments that don't ask for overload control list VMs as before.
+    assert own_record(node(context, limits=stated).ok.settings).capacity == 0
--- a/packages/core/src/baobabwharf_core/fleet_config.py
+++ b/packages/core/src/baobabwharf_core/fleet_config.py
@@ -16,7 +16,7 @@
     WorkClass,
     ZoneId,
 )
-from baobabwharf_core.input_types import EXACT_INTEGER, TokenCount
+from baobabwharf_core.input_types import EXACT_INTEGER, ExactInteger, TokenCount
 
 
 class Customer(msgspec.Struct, frozen=True):
@@ -69,8 +69,12 @@
     work_class: WorkClass = WorkClass('interactive')
 
 
-class VmRecord(msgspec.Struct, frozen=True):
-    """Describe a VM that has joined the fleet."""
+class VmRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Describe a VM that has joined the fleet.
+
+    capacity says what it can carry relative to the other VMs; it is 0 where it
+    is unknown, such as from VMs of earlier versions.
+    """
 
     vm_id: VmId
     region: RegionId
@@ -80,6 +84,7 @@
     forward_address: str
     caller_url: str
     incarnation: Annotated[Incarnation, EXACT_INTEGER] = Incarnation(0)
+    capacity: ExactInteger = 0
 
 
 class FleetConfig(msgspec.Struct, frozen=True):
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -41,6 +41,7 @@
 
 _HOUSEKEEPING_S = 0.25
 _STOP_POLL_S = 0.05
+_MS_PER_S = 1000
 # An entry VM that joins before it knows any endpoint would refuse all requests.
 # The wait is bounded because a new fleet has no endpoints yet.
 _STARTUP_WAIT_MS = 2500
@@ -166,7 +167,13 @@
         stopping = membership.core.stopping(
             self._clock.now_ms(), STALE_ADDRESS_MS
         )
-        return entry_addresses(membership.live_vms(), stopping, region, homes)
+        return entry_addresses(
+            membership.live_vms(),
+            stopping,
+            region,
+            homes,
+            self._clock.wall_ms() // _MS_PER_S,
+        )
 
     async def start(self) -> None:
         """Start all tasks; the caller listener comes last."""
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 _MAX_PORT = 65535
+_MAX_CAPACITY = 1_000_000_000
 
 
 class _Model(pydantic.BaseModel):
@@ -141,6 +142,8 @@
     # Place and refuse requests by expected times and customers' shares, also
     # where endpoints do not report their present speed.
     overload_control: bool = False
+    # What this VM can carry relative to others, for the directory; 0: unknown.
+    capacity: int = pydantic.Field(default=0, ge=0, le=_MAX_CAPACITY)
     log: Log = Log()
 
     @pydantic.field_validator('fleet_secret_file')
--- a/packages/daemon/src/baobabwharf_daemon/vm_records.py
+++ b/packages/daemon/src/baobabwharf_daemon/vm_records.py
@@ -21,6 +21,7 @@
         forward_address=settings.forward_address,
         caller_url=settings.caller_url,
         incarnation=incarnation,
+        capacity=settings.capacity,
     )
 
 
