--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -41,6 +41,7 @@
 
 _HOUSEKEEPING_S = 0.25
 _STOP_POLL_S = 0.05
+_MS_PER_S = 1000
 # An entry VM that joins before it knows any endpoint would refuse all requests.
 # The wait is bounded because a new fleet has no endpoints yet.
 _STARTUP_WAIT_MS = 2500
@@ -128,7 +129,11 @@
         self._started: list[Task] = []
         self._metrics: HttpServer | None = None
         self._region_slots = RegionSlots(
-            clock, self._record, self._selector, self._limits.membership
+            clock,
+            self._record,
+            self._selector,
+            self._limits.membership,
+            few_publishers=settings.overload_control,
         )
 
     @property
@@ -162,7 +167,13 @@
         stopping = membership.core.stopping(
             self._clock.now_ms(), STALE_ADDRESS_MS
         )
-        return entry_addresses(membership.live_vms(), stopping, region, homes)
+        return entry_addresses(
+            membership.live_vms(),
+            stopping,
+            region,
+            homes,
+            self._clock.wall_ms() // _MS_PER_S,
+        )
 
     async def start(self) -> None:
         """Start all tasks; the caller listener comes last."""
@@ -233,6 +244,7 @@
                 self._clock,
                 self._limits.membership,
                 crashes.blame,
+                fewer_far_repeats=self._settings.overload_control,
             ),
         )
 
