Flood one entry VM with large bodies in tests

An entry VM holds whatever callers send within the limit of one request; many large ones at once exceed its memory.

--- a/features/steps/platform_fleet.py
+++ b/features/steps/platform_fleet.py
@@ -115,7 +115,12 @@
     """Run the processes of a fleet and one event loop."""
 
     def __init__(
-        self, folder: Path, disks: int, entries: int, seed: int
+        self,
+        folder: Path,
+        disks: int,
+        entries: int,
+        seed: int,
+        limits: dict[str, int] | None = None,
     ) -> None:
         self.folder = folder
         self.loop = asyncio.new_event_loop()
@@ -127,7 +132,9 @@
         prefix = self._network.prefix
         self.disks = [f'{prefix}.{n + 1}' for n in range(disks)]
         self.entries = [f'{prefix}.{n + 51}' for n in range(entries)]
-        self.layout = FleetLayout(folder, base, {'z-1': 'r-1'}, self.disks)
+        self.layout = FleetLayout(
+            folder, base, {'z-1': 'r-1'}, self.disks, limits or {}
+        )
         self.endpoint = FleetEndpoint(f'{prefix}.101', base)
         self.processes: dict[str, subprocess.Popen] = {}
         self.document = b''
