Bound the memory that callers make an entry VM hold

Callers could make the proxy keep any number of bodies: each connection kept up to 4 MiB, whole bodies were copied three times, and bodies of requests without a valid path or key were kept, too.

Both listeners now share one budget, derived from the new setting memory_mb (limits.memoryMb of the platform). Unknown paths and keys and announced lengths over the limit are answered from the head; reading pauses before the budget is used up; callers that do not go on are closed while it is short; refusals for lack of memory are 503 with Retry-After. Large bodies are no longer copied, and the allocator returns their blocks at once.

--- a/features/unit/outer_names.feature
+++ b/features/unit/outer_names.feature
@@ -27,6 +27,10 @@
       | baobabwharf_crash_evidence_total |
       | baobabwharf_records_skipped_total |
       | baobabwharf_placement_asks_total |
+      | baobabwharf_input_bytes          |
+      | baobabwharf_input_limit_bytes    |
+      | baobabwharf_input_largest_bytes  |
+      | baobabwharf_input_closed_total   |
       | baobabwharf_request_seconds      |
       | baobabwharf_first_block_seconds  |
       | baobabwharf_log_lines_dropped    |
--- a/packages/core/src/baobabwharf_core/input_types.py
+++ b/packages/core/src/baobabwharf_core/input_types.py
@@ -47,6 +47,8 @@
 MicroTokens = Annotated[int, Meta(ge=0, le=_MAX_RATE * 10**6)]
 # Tokens, or tokens per second.
 Rate = Annotated[float, Meta(ge=0, le=_MAX_RATE)]
+# Memory of a VM.
+Megabytes = Annotated[float, Meta(ge=1, le=_MAX_RATE)]
 # Tokens per second by which times are divided.
 Speed = Annotated[float, Meta(gt=0, le=_MAX_RATE)]
 Weight = Annotated[float, Meta(ge=0, le=_MAX_COUNT)]
--- a/packages/core/src/baobabwharf_core/refusals.py
+++ b/packages/core/src/baobabwharf_core/refusals.py
@@ -17,6 +17,8 @@
 
     INVALID_REQUEST = 'invalid_request'
     REQUEST_TOO_LARGE = 'request_too_large'
+    BODY_TOO_SLOW = 'body_too_slow'
+    MEMORY_SHORT = 'memory_short'
     KEY_MISSING = 'key_missing'
     KEY_UNKNOWN = 'key_unknown'
     KEY_WITHDRAWN = 'key_withdrawn'
@@ -58,6 +60,10 @@
         400, 'Correct the request and send it again.'
     ),
     RefusalCode.REQUEST_TOO_LARGE: Advice(413, 'Send a smaller request.'),
+    RefusalCode.BODY_TOO_SLOW: Advice(408, 'Send the body faster.'),
+    RefusalCode.MEMORY_SHORT: Advice(
+        503, 'Wait for the time in Retry-After and send the request again.'
+    ),
     RefusalCode.KEY_MISSING: Advice(
         401, 'Send the key as "Authorization: Bearer KEY".'
     ),
--- a/packages/daemon/src/baobabwharf_daemon/metrics.py
+++ b/packages/daemon/src/baobabwharf_daemon/metrics.py
@@ -40,6 +40,26 @@
     'Invalid records among valid ones of other VMs and endpoints, by kind.',
     registry=REGISTRY,
 )
+INPUT_BYTES = Gauge(
+    'baobabwharf_input_bytes',
+    'Memory held for requests that arrive, wait or run.',
+    registry=REGISTRY,
+)
+INPUT_LIMIT = Gauge(
+    'baobabwharf_input_limit_bytes',
+    'Limit of the memory held for requests.',
+    registry=REGISTRY,
+)
+INPUT_LARGEST = Gauge(
+    'baobabwharf_input_largest_bytes',
+    'Memory held for the largest of these requests.',
+    registry=REGISTRY,
+)
+INPUT_CLOSED = Counter(
+    'baobabwharf_input_closed_total',
+    'Connections closed while a request arrived, to free memory, by reason.',
+    registry=REGISTRY,
+)
 # The buckets cover the usual targets of some hundred ms and the deadlines.
 LATENCY = Histogram(
     'baobabwharf_request_seconds',
--- a/packages/daemon/src/baobabwharf_daemon/proxy/app.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/app.py
@@ -23,11 +23,11 @@
 from baobabwharf_daemon.interfaces import MembershipView
 from baobabwharf_daemon.metrics import REVISION
 from baobabwharf_daemon.proxy.adaptive_selector import build_selector
-from baobabwharf_daemon.proxy.caller_connection import CallerListener
 from baobabwharf_daemon.proxy.crash_watch import CrashExchange, CrashWatch
 from baobabwharf_daemon.proxy.dialect import Dialect
 from baobabwharf_daemon.proxy.endpoint_sync import EndpointSync
 from baobabwharf_daemon.proxy.ingress import Ingress
+from baobabwharf_daemon.proxy.listeners import build_listeners
 from baobabwharf_daemon.proxy.metrics_listener import metrics_server
 from baobabwharf_daemon.proxy.operator_service import OperatorService
 from baobabwharf_daemon.proxy.peer_exchange import build_peer_exchange
@@ -109,13 +109,15 @@
         self._ingress = Ingress(
             self._context, peer_exchange.limits, lambda: self._route_table
         )
-        limits = self._ingress.ingress_limits
-        self._caller_listener = CallerListener(
-            self._ingress.serve_caller, limits
-        )
-        self._forward_listener = CallerListener(
-            self._ingress.serve_forwarded, limits
+        listeners = build_listeners(
+            self._ingress,
+            dialect,
+            lambda: self._route_table,
+            settings.memory_mb,
         )
+        self._intake = listeners.intake
+        self._caller_listener = listeners.callers
+        self._forward_listener = listeners.forwards
         self.operator_service = OperatorService(
             self._record.vm_id,
             self._consensus.changes,
@@ -321,4 +323,5 @@
         while True:
             self._context.pool.close_expired()
             self._region_slots.publish()
+            self._intake.publish()
             await asyncio.sleep(_HOUSEKEEPING_S)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/attempt.py
@@ -22,7 +22,7 @@
     HttpRequest,
     ResponseHead,
     ResponseMetadata,
-    encode_request,
+    encode_request_head,
     end_to_end_headers,
 )
 from baobabwharf_daemon.proxy.request_plan import (
@@ -125,10 +125,13 @@
         self.reused = connection.request_count > 0
         self._count_load(plan)
         self.sent_ms = self._clock.now_ms()
-        payload = encode_request(request, self._headers(request, plan))
+        encoded_head = encode_request_head(
+            request, self._headers(request, plan)
+        )
         request_id = plan.metadata.request_id
         connection.send(
-            payload,
+            encoded_head,
+            request.body,
             lambda head: self._matches(head, request_id),
             bodiless=request.method == HEAD,
             streaming=plan.metadata.streaming,
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_connection.py
@@ -21,6 +21,8 @@
 _HIGH_WATER_BYTES = 65_536
 # Parsed in one go; a read of the event loop can be larger.
 _SLICE_BYTES = 8192
+# Larger bodies are not copied; smaller ones leave in one segment with the head.
+_MAX_JOINED_BYTES = 65_536
 _MS_PER_S = 1000
 _KEEPALIVE_IDLE_S = 2
 _KEEPALIVE_INTERVAL_S = 1
@@ -95,7 +97,8 @@
 
     def send(
         self,
-        request: bytes,
+        head: bytes,
+        body: bytes | bytearray,
         matches: ResponseMatcher,
         *,
         bodiless: bool,
@@ -105,7 +108,11 @@
         self._response.expect(matches, bodiless=bodiless, streaming=streaming)
         self._pending = True
         self.request_count += 1
-        self._transport.write(request)
+        if len(body) > _MAX_JOINED_BYTES:
+            self._transport.write(head)
+            self._transport.write(body)
+        else:
+            self._transport.write(head + body)
 
     async def read_head(self) -> ResponseHead | ResponseLoss:
         """Wait for the head of the response."""
--- a/packages/daemon/src/baobabwharf_daemon/proxy/http_messages.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/http_messages.py
@@ -49,7 +49,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header, by its lower-case name."""
@@ -130,11 +130,11 @@
     return b'\r\n'.join(lines)
 
 
-def encode_request(request: HttpRequest, headers: list[Header]) -> bytes:
-    """Return the bytes of a request, with its Content-Length."""
+def encode_request_head(request: HttpRequest, headers: list[Header]) -> bytes:
+    """Return the head of a request, with its Content-Length."""
     line = b'%s %s HTTP/1.1' % (request.method, request.target)
     framed = headers
     if request.body or request.method not in {b'GET', b'HEAD', b'DELETE'}:
         length = b'%d' % len(request.body)
         framed = [*headers, (b'Content-Length', length)]
-    return encode_head(line, framed) + request.body
+    return encode_head(line, framed)
--- a/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/ingress.py
@@ -98,22 +98,22 @@
         started_ms = self._context.clock.now_ms()
         metadata = self._context.dialect.read_request(call.request)
         if metadata is None:
-            self._refuse(call, None, Refusal(RefusalCode.INVALID_REQUEST))
+            self.refuse_caller(call, None, Refusal(RefusalCode.INVALID_REQUEST))
             return
         prepared = self._prepare(metadata, call.request)
         if prepared.is_error():
-            self._refuse(call, metadata, prepared.error)
+            self.refuse_caller(call, metadata, prepared.error)
             return
         refusal = self._refuse_while_stopping(prepared.ok.plan)
         if refusal is None:
             refusal = await self._run_charged(call, prepared.ok)
         if refusal is not None:
-            self._refuse(call, metadata, refusal)
+            self.refuse_caller(call, metadata, refusal)
         self._record_end(metadata, prepared.ok.plan, refusal, started_ms)
 
     async def serve_forwarded(self, call: HttpCall) -> None:
         """Handle a request that another VM has validated and charged."""
-        metadata = _read_forward_metadata(call)
+        metadata = read_forward_metadata(call.request)
         if metadata is None:
             refusal = Refusal(RefusalCode.INVALID_REQUEST)
             self._record_refusal(None, refusal, forwarded=True)
@@ -132,6 +132,26 @@
             report = region_report_headers(plan, clock.now_ms())
             _refuse_forwarded(call, refused, report)
 
+    def refuse_caller(
+        self, call: HttpCall, metadata: RequestMetadata | None, refusal: Refusal
+    ) -> None:
+        """Answer a caller whose request was not served."""
+        request_id = None if metadata is None else metadata.request_id
+        self._record_refusal(request_id, refusal, forwarded=False)
+        if call.started:
+            call.abort()
+            return
+        headers = self._context.dialect.refusal_headers(metadata, refusal)
+        sentence = refusal.sentence.encode()
+        call.respond(refusal.status, b'Refused', headers, sentence)
+
+    def refuse_forwarded(self, call: HttpCall, refusal: Refusal) -> None:
+        """Answer a VM whose request was refused before it was read."""
+        metadata = read_forward_metadata(call.request)
+        request_id = None if metadata is None else metadata.request_id
+        self._record_refusal(request_id, refusal, forwarded=True)
+        _refuse_forwarded(call, refusal, [])
+
     async def _run_forwarded(
         self,
         call: HttpCall,
@@ -265,18 +285,6 @@
             forward, self._context.clock.now_ms(), forwarded=False
         )
 
-    def _refuse(
-        self, call: HttpCall, metadata: RequestMetadata | None, refusal: Refusal
-    ) -> None:
-        request_id = None if metadata is None else metadata.request_id
-        self._record_refusal(request_id, refusal, forwarded=False)
-        if call.started:
-            call.abort()
-            return
-        headers = self._context.dialect.refusal_headers(metadata, refusal)
-        sentence = refusal.sentence.encode()
-        call.respond(refusal.status, b'Refused', headers, sentence)
-
     def _record_refusal(
         self, request_id: str | None, refusal: Refusal, *, forwarded: bool
     ) -> None:
@@ -331,8 +339,9 @@
         return None if table is None else table.deployment.version
 
 
-def _read_forward_metadata(call: HttpCall) -> ForwardMetadata | None:
-    value = call.request.header(FORWARD_HEADER.lower())
+def read_forward_metadata(request: HttpRequest) -> ForwardMetadata | None:
+    """Return the metadata of a forwarded request, None if it is invalid."""
+    value = request.header(FORWARD_HEADER.lower())
     if value is None:
         return None
     try:
--- a/packages/daemon/src/baobabwharf_daemon/proxy/request_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/request_reader.py
@@ -9,6 +9,16 @@
 
 from baobabwharf_daemon.proxy.http_messages import Header, HttpRequest
 
+# The parser takes no length beyond 64 bits.
+_MAX_LENGTH_DIGITS = 20
+# Object headers of a header line, in bytes.
+_HEADER_OVERHEAD = 200
+# The body of a refused request is read and dropped up to this length, so that
+# the connection stays usable.
+_MAX_DROPPED_BYTES = 65_536
+# Smaller bodies are copied, larger ones keep the buffer they were read into.
+_MAX_COPIED_BYTES = 65_536
+
 LimitsSource = Callable[[], IngressLimits]
 
 BAD_REQUEST = 400
@@ -29,6 +39,18 @@
     def on_request_begin(self) -> None:
         """Handle the first byte of a request."""
 
+    @abc.abstractmethod
+    def on_head(self, head: HttpRequest, length: int | None) -> bool:
+        """Return whether the body is kept; length is None if unknown."""
+
+    @abc.abstractmethod
+    def on_received(self, size: int) -> bool:
+        """Count bytes of the request; return whether it is read further."""
+
+    @abc.abstractmethod
+    def refuse_head(self) -> None:
+        """Reject a request whose body is not kept; nothing more is parsed."""
+
     @abc.abstractmethod
     def on_headers_end(self, *, awaits_continue: bool) -> None:
         """Handle the end of the headers."""
@@ -52,6 +74,15 @@
         self.header_bytes = 0
         # Bytes received after the first ones.
         self.later_bytes = 0
+        self.keeps_body = True
+        # Bytes that the sink has counted.
+        self.counted = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return how much memory the request takes."""
+        headers = self.header_bytes + len(self.headers) * _HEADER_OVERHEAD
+        return headers + len(self.body)
 
     @property
     def framing_exceeded(self) -> bool:
@@ -77,7 +108,17 @@
         """Return whether a request is partly received."""
         return self._incoming is not None
 
-    def feed(self, data: bytes) -> None:
+    @property
+    def refused(self) -> bool:
+        """Return whether nothing more is parsed."""
+        return self._refused
+
+    def abandon(self) -> None:
+        """Drop the partial request and parse nothing more."""
+        self._refused = True
+        self._incoming = None
+
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes."""
         if self._refused:
             return
@@ -90,6 +131,8 @@
             incoming.later_bytes += len(data)
             if incoming.framing_exceeded:
                 self._refuse(BAD_REQUEST)
+        if self._incoming is not None:
+            self._count(self._incoming)
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -113,11 +156,26 @@
         """Report the end of the headers and any Expect: 100-continue."""
         if self._incoming is None:
             return
-        awaits_continue = any(
-            name.lower() == b'expect' and value.lower() == b'100-continue'
-            for name, value in self._incoming.headers
+        head = HttpRequest(
+            self._parser.get_method(),
+            self._incoming.target,
+            tuple(self._incoming.headers),
+            b'',
+        )
+        length = _body_length(head)
+        if length is not None and length > self._limits().max_body_bytes:
+            self._refuse(_BODY_TOO_LARGE)
+            return
+        self._incoming.keeps_body = self._sink.on_head(head, length)
+        drops_all = length is not None and length <= _MAX_DROPPED_BYTES
+        if not (self._incoming.keeps_body or drops_all):
+            self.abandon()
+            self._sink.refuse_head()
+            return
+        awaits_continue = head.header(b'expect') or b''
+        self._sink.on_headers_end(
+            awaits_continue=awaits_continue.lower() == b'100-continue'
         )
-        self._sink.on_headers_end(awaits_continue=awaits_continue)
 
     def on_body(self, body: bytes) -> None:
         """Append to the body."""
@@ -126,24 +184,34 @@
             return
         if len(incoming.body) + len(body) > self._limits().max_body_bytes:
             self._refuse(_BODY_TOO_LARGE)
-        else:
+        elif incoming.keeps_body:
             incoming.body += body
 
     def on_message_complete(self) -> None:
         """Report the complete request."""
         incoming = self._incoming
         self._incoming = None
-        if incoming is None:
+        if incoming is None or not self._count(incoming):
             return
+        copied = len(incoming.body) <= _MAX_COPIED_BYTES
         request = HttpRequest(
             self._parser.get_method(),
             incoming.target,
             tuple(incoming.headers),
-            bytes(incoming.body),
+            bytes(incoming.body) if copied else incoming.body,
         )
         keep_alive = self._parser.should_keep_alive()
         self._sink.on_request_end(request, keep_alive=keep_alive)
 
+    def _count(self, incoming: _PartialRequest) -> bool:
+        """Report what arrived; return whether the request is read on."""
+        held = incoming.held_bytes
+        size = held - incoming.counted
+        incoming.counted = held
+        if size and not self._sink.on_received(size):
+            self.abandon()
+        return not self._refused
+
     def _count_header(self, incoming: _PartialRequest, size: int) -> None:
         incoming.header_bytes += size
         too_many = len(incoming.headers) > _MAX_HEADERS
@@ -155,3 +223,14 @@
             self._refused = True
             self._incoming = None
             self._sink.refuse(status)
+
+
+def _body_length(head: HttpRequest) -> int | None:
+    """Return the announced length of a body, None for a chunked one.
+
+    The parser has checked the value, which may be longer than int() takes.
+    """
+    if head.header(b'transfer-encoding') is not None:
+        return None
+    value = (head.header(b'content-length') or b'0').strip()
+    return int(value[-_MAX_LENGTH_DIGITS:]) if value.isdigit() else 0
--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -141,6 +141,9 @@
     # Place and refuse requests by expected times and customers' shares, also
     # where endpoints do not report their present speed.
     overload_control: bool = False
+    # Memory of the VM in MB, which bounds what callers make the process hold;
+    # 256 if it is not set.
+    memory_mb: int | None = pydantic.Field(default=None, ge=1)
     log: Log = Log()
 
     @pydantic.field_validator('fleet_secret_file')
--- a/packages/decisions/src/baobabwharf_decisions/proxying/request_traits.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/request_traits.py
@@ -20,7 +20,11 @@
 
 
 def whole_request_trait(
-    caller: str, method: bytes, host: str, target: bytes, body: bytes
+    caller: str,
+    method: bytes,
+    host: str,
+    target: bytes,
+    body: bytes | bytearray,
 ) -> TraitId:
     """Return the same trait whenever the request comes again."""
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
