--- a/packages/daemon/src/baobabwharf_daemon/settings.py
+++ b/packages/daemon/src/baobabwharf_daemon/settings.py
@@ -144,6 +144,9 @@
     overload_control: bool = False
     # What this VM can carry relative to others, for the directory; 0: unknown.
     capacity: int = pydantic.Field(default=0, ge=0, le=_MAX_CAPACITY)
+    # Memory of the VM in MB, which bounds what callers make the process hold;
+    # 256 if it is not set.
+    memory_mb: int | None = pydantic.Field(default=None, ge=1)
     log: Log = Log()
 
     @pydantic.field_validator('fleet_secret_file')
