Count what callers make the own interface hold

The body reader reserved the announced length, so that anyone who announced 96 MiB kept others from being served, and sanic lifts its limit for handlers that read bodies, so that chunked bodies grew without end, as one object per chunk.

Endpoints' and operators' credentials are checked before the body is read. A body is not kept beside the call that is made of it.

--- a/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/forwarding/forward_routes.py
@@ -18,7 +18,7 @@
     encode_refusal,
 )
 from baobabwharf_daemon.forwarding.local_executor import LocalExecutor
-from baobabwharf_daemon.gateway.body_reader import BODY_TIMEOUT_S
+from baobabwharf_daemon.gateway.body_reader import BodyReader
 from baobabwharf_daemon.gateway.calls import Call, Progress, ResponseWriter
 from baobabwharf_daemon.gateway.current_task import current_task
 from baobabwharf_daemon.gateway.drain import Drain
@@ -36,28 +36,36 @@
 from baobabwharf_daemon.gateway.sanic_response import SanicResponseWriter
 
 _UNAUTHORIZED = 401
+# Counts the bodies of forwarded calls until their customer is decoded; no id of
+# a customer begins like this.
+_FORWARDED = '/forwarded'
+
+
+class ForwardDependencies(msgspec.Struct, frozen=True):
+    """Hold the dependencies of the forward route."""
+
+    region: RegionId
+    secret: str
+    executor: LocalExecutor
+    records: RequestRecords
+    running: RunningRequests
+    drain: Drain
+    clock: Clock
+    bodies: BodyReader
 
 
 class ForwardRoutes:
     """Execute or refuse forwarded calls; never forward them again."""
 
-    def __init__(
-        self,
-        region: RegionId,
-        secret: str,
-        executor: LocalExecutor,
-        records: RequestRecords,
-        running: RunningRequests,
-        drain: Drain,
-        clock: Clock,
-    ) -> None:
-        self._region = region
-        self._secret = secret.encode()
-        self._executor = executor
-        self._records = records
-        self._running = running
-        self._drain = drain
-        self._clock = clock
+    def __init__(self, dependencies: ForwardDependencies) -> None:
+        self._region = dependencies.region
+        self._secret = dependencies.secret.encode()
+        self._executor = dependencies.executor
+        self._records = dependencies.records
+        self._running = dependencies.running
+        self._drain = dependencies.drain
+        self._clock = dependencies.clock
+        self._bodies = dependencies.bodies
 
     def add_to(self, app: Sanic) -> None:
         """Register the route with the app of the forward listener."""
@@ -76,26 +84,18 @@
 
     async def _handle(self, request: Request) -> HTTPResponse | None:
         secret = request.headers.get(FLEET_SECRET_HEADER, '').encode()
+        writer = SanicResponseWriter(request)
         if not hmac.compare_digest(secret, self._secret):
+            writer.close_if_unread()
             return HTTPResponse(status=_UNAUTHORIZED)
-        writer = SanicResponseWriter(request)
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                await request.receive_body()
-        except TimeoutError:
-            refusal = Refusal(
-                RefusalCode.INVALID_REQUEST,
-                detail='The body was not sent in time.',
-            )
-            await _refuse(refusal, writer, '', streaming=False)
-            writer.close_after_delay()
-            return None
-        decoded = decode_call(request.body)
-        if decoded.is_error():
-            refusal = Refusal(RefusalCode.INVALID_REQUEST, detail=decoded.error)
-            await _refuse(refusal, writer, '', streaming=False)
-            return None
-        await self._run(decoded.ok, writer)
+        with self._bodies.hold(request, _FORWARDED) as holding:
+            call = await self._bodies.read(request, holding, _decode)
+            if isinstance(call, Refusal):
+                await _refuse(call, writer, '', streaming=False)
+                writer.close_if_unread()
+                return None
+            holding.identify(call.attributes.customer_id)
+            await self._run(call, writer)
         return None
 
     async def _run(self, call: Call, writer: ResponseWriter) -> None:
@@ -158,6 +158,13 @@
         return None
 
 
+def _decode(body: bytes) -> Call | Refusal:
+    decoded = decode_call(body)
+    if decoded.is_error():
+        return Refusal(RefusalCode.INVALID_REQUEST, detail=decoded.error)
+    return decoded.ok
+
+
 async def _refuse(
     refusal: Refusal,
     writer: ResponseWriter,
--- a/packages/daemon/src/baobabwharf_daemon/gateway/announcement_routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/announcement_routes.py
@@ -1,5 +1,7 @@
 """Handle announcements and heartbeats of endpoints over HTTP."""
 
+from collections.abc import Callable
+
 import msgspec
 from baobabwharf_core.announcements import (
     ANNOUNCE_PATH,
@@ -15,10 +17,18 @@
 from sanic import HTTPResponse, Request, Sanic
 
 from baobabwharf_daemon.gateway.auth import KeyIndex
+from baobabwharf_daemon.gateway.body_reader import BodyReader
 from baobabwharf_daemon.gateway.http_server import MAX_BODY_BYTES
-from baobabwharf_daemon.gateway.sanic_response import refusal_response
+from baobabwharf_daemon.gateway.sanic_response import (
+    SanicResponseWriter,
+    refusal_response,
+)
 from baobabwharf_daemon.interfaces import EndpointRegistry
 
+# The messages of all endpoints together are counted like those of one customer;
+# no id of a customer begins like this.
+_ENDPOINTS = '/endpoints'
+_Taker = Callable[[str, bytes], Result[LeaseAnswer, Refusal]]
 _announcements = msgspec.json.Decoder(Announcement)
 _heartbeats = msgspec.json.Decoder(Heartbeat)
 
@@ -27,8 +37,13 @@
     """Authenticate endpoints and pass their messages to the registry."""
 
     def __init__(
-        self, region: str, keys: KeyIndex, registry: EndpointRegistry
+        self,
+        region: str,
+        keys: KeyIndex,
+        registry: EndpointRegistry,
+        bodies: BodyReader,
     ) -> None:
+        self._bodies = bodies
         self._region = region
         self._keys = keys
         self._registry = registry
@@ -36,22 +51,43 @@
 
     def add_to(self, app: Sanic) -> None:
         """Add the routes to the caller listener."""
-        app.add_route(self._announce, ANNOUNCE_PATH, methods=['POST'])
-        app.add_route(self._heartbeat, HEARTBEAT_PATH, methods=['POST'])
 
-    async def _announce(self, request: Request) -> HTTPResponse:
-        return _respond(self._take_announcement(request))
+        # sanic sets an attribute on streaming handlers; bound methods do not
+        # allow that.
+        async def announce(request: Request) -> HTTPResponse:
+            return await self._take(request, self._take_announcement)
+
+        async def heartbeat(request: Request) -> HTTPResponse:
+            return await self._take(request, self._take_heartbeat)
 
-    async def _heartbeat(self, request: Request) -> HTTPResponse:
-        return _respond(self._take_heartbeat(request))
+        for handler, path in (
+            (announce, ANNOUNCE_PATH),
+            (heartbeat, HEARTBEAT_PATH),
+        ):
+            app.add_route(handler, path, methods=['POST'], stream=True)
+
+    async def _take(self, request: Request, take: _Taker) -> HTTPResponse:
+        """Authenticate an endpoint, then read and pass on its message."""
+        header = request.headers.get('authorization')
+        service = self._keys.endpoint_service(header)
+        if service is None:
+            return _refuse(Refusal(RefusalCode.KEY_UNKNOWN), request)
+        with self._bodies.hold(request, _ENDPOINTS) as holding:
+            outcome = await self._bodies.read(
+                request, holding, lambda body: take(service, body)
+            )
+        if isinstance(outcome, Refusal):
+            return _refuse(outcome, request)
+        if outcome.is_error():
+            return refusal_response(outcome.error, '')
+        return HTTPResponse(
+            msgspec.json.encode(outcome.ok), content_type='application/json'
+        )
 
     def _take_announcement(
-        self, request: Request
+        self, service: str, body: bytes
     ) -> Result[LeaseAnswer, Refusal]:
-        service = self._service(request)
-        if service is None:
-            return Error(Refusal(RefusalCode.KEY_UNKNOWN))
-        decoded = decode_announcement(request.body)
+        decoded = decode_announcement(body)
         if decoded.is_error():
             return _invalid(decoded.error)
         announcement = decoded.ok
@@ -63,11 +99,10 @@
         self._services[announcement.endpoint_id] = service
         return self._registry.announce(announcement)
 
-    def _take_heartbeat(self, request: Request) -> Result[LeaseAnswer, Refusal]:
-        service = self._service(request)
-        if service is None:
-            return Error(Refusal(RefusalCode.KEY_UNKNOWN))
-        decoded = decode_heartbeat(request.body)
+    def _take_heartbeat(
+        self, service: str, body: bytes
+    ) -> Result[LeaseAnswer, Refusal]:
+        decoded = decode_heartbeat(body)
         if decoded.is_error():
             return _invalid(decoded.error)
         beat = decoded.ok
@@ -78,9 +113,6 @@
             return Error(Refusal(RefusalCode.KEY_UNKNOWN))
         return self._registry.heartbeat(beat)
 
-    def _service(self, request: Request) -> str | None:
-        return self._keys.endpoint_service(request.headers.get('authorization'))
-
 
 def decode_announcement(body: bytes) -> Result[Announcement, str]:
     """Decode an announcement; an error says which part is invalid."""
@@ -103,9 +135,6 @@
     return Error(Refusal(RefusalCode.INVALID_REQUEST, detail=detail))
 
 
-def _respond(outcome: Result[LeaseAnswer, Refusal]) -> HTTPResponse:
-    if outcome.is_ok():
-        return HTTPResponse(
-            msgspec.json.encode(outcome.ok), content_type='application/json'
-        )
-    return refusal_response(outcome.error, '')
+def _refuse(refusal: Refusal, request: Request) -> HTTPResponse:
+    SanicResponseWriter(request).close_if_unread()
+    return refusal_response(refusal, '')
--- a/packages/daemon/src/baobabwharf_daemon/gateway/body_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/body_reader.py
@@ -1,83 +1,116 @@
-"""Read request bodies with a timeout and a memory limit."""
+"""Read request bodies within the limits of size, time and memory."""
 
 import asyncio
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from baobabwharf_core.refusals import Executed, Refusal, RefusalCode
 from sanic import Request
 from sanic.exceptions import PayloadTooLarge, SanicException
 
 from baobabwharf_daemon.gateway.http_server import MAX_BODY_BYTES
+from baobabwharf_daemon.gateway.intake import (
+    Holding,
+    Intake,
+    MemoryShortError,
+)
 
 BODY_TIMEOUT_S = 30
-# Total size of the bodies of all running requests.
-MAX_BUFFERED_BYTES = 96 * 1024 * 1024
+# A body up to this size that has arrived is read without a timer, which costs
+# more than the reading; the budget never makes such a body wait.
+_SMALL_BYTES = 65_536
+# Chunks are counted together, since counting each chunk of a few bytes costs
+# more than the chunk.
+_COUNTED_BYTES = 4096
 _RETRY_AFTER_MS = 1000
 
+BuiltT = TypeVar('BuiltT')
+
 
 class BodyReader:
-    """Read bodies and limit the memory that all of them use."""
+    """Read the bodies of one listener."""
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+    def __init__(self, intake: Intake, max_bytes: int = MAX_BODY_BYTES) -> None:
+        self._intake = intake
         self._max_bytes = max_bytes
-        self._buffered_bytes = 0
 
-    async def read(self, request: Request) -> bytes | Refusal:
-        """Return the body or the reason why it is refused.
+    def hold(self, request: Request, owner: str | None) -> Holding:
+        """Begin to count what a request makes the process hold.
 
-        Its size is accounted for only while it is read; to keep the body,
-        call retain() and later release().
+        owner is its customer; None for callers without a valid key.
         """
-        declared_bytes = _declared_bytes(request)
-        if declared_bytes > MAX_BODY_BYTES:
-            return Refusal(RefusalCode.REQUEST_TOO_LARGE)
-        if self._buffered_bytes + declared_bytes > self._max_bytes:
-            return Refusal(
-                RefusalCode.QUEUE_FULL,
-                Executed.NO,
-                retry_after_ms=_RETRY_AFTER_MS,
-            )
-        self._buffered_bytes += declared_bytes
-        try:
-            return await self._receive(request, declared_bytes)
-        finally:
-            self._buffered_bytes -= declared_bytes
-
-    def retain(self, size: int) -> None:
-        """Account for a body that stays in memory."""
-        self._buffered_bytes += size
+        return self._intake.hold(owner, _announced_bytes(request))
 
-    def release(self, size: int) -> None:
-        """Stop accounting for a body that was retained."""
-        self._buffered_bytes -= size
+    async def read(
+        self,
+        request: Request,
+        holding: Holding,
+        build: Callable[[bytes], BuiltT | Refusal],
+    ) -> BuiltT | Refusal:
+        """Return what build makes of the body, or the reason of a refusal.
 
-    async def _receive(
-        self, request: Request, declared_bytes: int
-    ) -> bytes | Refusal:
-        try:
-            await _receive_with_timeout(request, declared_bytes)
-        except TimeoutError:
-            return _invalid('The body was not sent in time.')
-        except PayloadTooLarge:
+        The body itself is not kept beside what is made of it.
+        """
+        announced = _announced_bytes(request) or 0
+        if announced > self._max_bytes:
             return Refusal(RefusalCode.REQUEST_TOO_LARGE)
+        stream: Any = request.stream
+        # sanic reads any number of bytes for handlers that read the body.
+        stream.request_max_size = self._max_bytes
+        try:
+            body = await _receive(stream, holding, announced)
+        except (MemoryShortError, TimeoutError) as error:
+            return _not_received(error, holding)
         except SanicException as error:
-            return _invalid(str(error))
-        return request.body
-
-
-async def _receive_with_timeout(request: Request, declared_bytes: int) -> None:
-    stream: Any = request.stream
-    if declared_bytes and len(stream.recv_buffer) >= declared_bytes:
-        await request.receive_body()
-        return
-    async with asyncio.timeout(BODY_TIMEOUT_S):
-        await request.receive_body()
-
-
-def _declared_bytes(request: Request) -> int:
+            return _invalid_body(error)
+        return build(body)
+
+
+async def _receive(stream: Any, holding: Holding, announced: int) -> bytes:
+    arrived = len(stream.recv_buffer)
+    if arrived >= announced and 0 < announced <= _SMALL_BYTES:
+        return await _collect(stream, holding)
+    async with holding.limit_time(BODY_TIMEOUT_S):
+        return await _collect(stream, holding)
+
+
+async def _collect(stream: Any, holding: Holding) -> bytes:
+    # One buffer, since an object for each chunk takes eight times the memory
+    # of a chunk of 7 bytes.
+    body = bytearray()
+    counted = 0
+    async for chunk in stream:
+        body += chunk
+        if len(body) - counted >= _COUNTED_BYTES:
+            size = len(body) - counted
+            counted += size
+            await holding.add(size)
+            # Tiny chunks that have arrived would keep other requests waiting.
+            await asyncio.sleep(0)
+    await holding.add(len(body) - counted)
+    holding.complete()
+    return bytes(body)
+
+
+def _announced_bytes(request: Request) -> int | None:
+    """Return the length in the head; None for a chunked body."""
+    if 'transfer-encoding' in request.headers:
+        return None
     length = request.headers.get('content-length', '')
     return int(length) if length.isdecimal() else 0
 
 
-def _invalid(detail: str) -> Refusal:
-    return Refusal(RefusalCode.INVALID_REQUEST, detail=detail)
+def _not_received(error: Exception, holding: Holding) -> Refusal:
+    if isinstance(error, MemoryShortError) or holding.waited:
+        return Refusal(
+            RefusalCode.QUEUE_FULL, Executed.NO, retry_after_ms=_RETRY_AFTER_MS
+        )
+    return Refusal(
+        RefusalCode.INVALID_REQUEST, detail='The body was not sent in time.'
+    )
+
+
+def _invalid_body(error: SanicException) -> Refusal:
+    if isinstance(error, PayloadTooLarge):
+        return Refusal(RefusalCode.REQUEST_TOO_LARGE)
+    return Refusal(RefusalCode.INVALID_REQUEST, detail=str(error))
--- a/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/caller_app.py
@@ -16,6 +16,7 @@
 from baobabwharf_daemon.gateway.discovery import list_entry_vms, model_list
 from baobabwharf_daemon.gateway.drain import Drain
 from baobabwharf_daemon.gateway.idempotency import IdempotencyGuard
+from baobabwharf_daemon.gateway.intake import Intake
 from baobabwharf_daemon.gateway.pipeline import Pipeline
 from baobabwharf_daemon.gateway.request_attributes import RequestIds, RouteIndex
 from baobabwharf_daemon.gateway.request_counter import metrics_page
@@ -57,6 +58,7 @@
     call_runner: CallRunner
     running: RunningRequests
     drain: Drain
+    intake: Intake
 
 
 class CallerRoutes:
@@ -64,7 +66,7 @@
 
     def __init__(self, dependencies: CallerDependencies) -> None:
         self._dependencies = dependencies
-        self._bodies = BodyReader()
+        self._bodies = BodyReader(dependencies.intake)
         self._completions = CompletionCalls(
             dependencies.config_source,
             dependencies.catalog,
@@ -97,11 +99,12 @@
             methods=list(_METHODS),
             stream=True,
         )
-        app.add_route(self._models, '/v1/models')
-        app.add_route(self._model, '/v1/models/<model:path>')
-        app.add_route(self._entry_vms, '/v1/entry-vms')
-        app.add_route(self._metrics, '/metrics')
-        app.add_route(self._health, '/health')
+        # A body that these routes don't expect is not kept.
+        app.add_route(self._models, '/v1/models', ignore_body=True)
+        app.add_route(self._model, '/v1/models/<model:path>', ignore_body=True)
+        app.add_route(self._entry_vms, '/v1/entry-vms', ignore_body=True)
+        app.add_route(self._metrics, '/metrics', ignore_body=True)
+        app.add_route(self._health, '/health', ignore_body=True)
 
     async def _track_running(self, work: Awaitable[None]) -> None:
         """Count a request as running from the first read of its body on.
@@ -120,16 +123,19 @@
         if isinstance(caller, Refusal):
             await self._refuse(caller, writer)
             return
-        body = await self._bodies.read(request)
-        if isinstance(body, Refusal):
-            await self._refuse(body, writer)
-            writer.close_after_delay()
-            return
-        call = self._completions.build(request, request.path, body, caller)
-        if isinstance(call, Refusal):
-            await self._refuse(call, writer)
-            return
-        await self._run(call, caller.digest, writer)
+        owner = caller.customer.customer_id
+        with self._bodies.hold(request, owner) as holding:
+            call = await self._bodies.read(
+                request,
+                holding,
+                lambda body: self._completions.build(
+                    request, request.path, body, caller
+                ),
+            )
+            if isinstance(call, Refusal):
+                await self._refuse(call, writer)
+                return
+            await self._run(call, caller.digest, writer)
 
     async def _call_service(self, request: Request) -> None:
         writer = SanicResponseWriter(request)
@@ -138,18 +144,19 @@
             await self._refuse(checked, writer)
             return
         rule, caller = checked
-        body = await self._bodies.read(request)
-        if isinstance(body, Refusal):
-            await self._refuse(body, writer)
-            writer.close_after_delay()
-            return
-        call = self._services.build(request, rule, body, caller)
-        if isinstance(call, Refusal):
-            await self._refuse(call, writer)
-            return
-        digest = caller.digest if caller else b''
-        key = request.headers.get('idempotency-key')
-        await self._run(call, digest, writer, key)
+        owner = caller.customer.customer_id if caller else None
+        with self._bodies.hold(request, owner) as holding:
+            call = await self._bodies.read(
+                request,
+                holding,
+                lambda body: self._services.build(request, rule, body, caller),
+            )
+            if isinstance(call, Refusal):
+                await self._refuse(call, writer)
+                return
+            digest = caller.digest if caller else b''
+            key = request.headers.get('idempotency-key')
+            await self._run(call, digest, writer, key)
 
     def _service_rule(
         self, request: Request
@@ -193,11 +200,7 @@
             return
         if self._dependencies.drain.stopping:
             writer.close_after_response()
-        self._bodies.retain(len(call.body))
-        try:
-            await self._execute(call, digest, writer, idempotency_key)
-        finally:
-            self._bodies.release(len(call.body))
+        await self._execute(call, digest, writer, idempotency_key)
 
     async def _execute(
         self, call: Call, digest: bytes, writer: ResponseWriter, key: str | None
@@ -247,6 +250,8 @@
             writer.close_after_response()
         request_id = self._dependencies.request_ids.next_id()
         await refuse(refusal, writer, request_id, streaming=False)
+        if isinstance(writer, SanicResponseWriter):
+            writer.close_if_unread()
 
     async def _models(self, request: Request) -> HTTPResponse:
         _close_if_stopping(self._dependencies.drain, request)
--- a/packages/daemon/src/baobabwharf_daemon/gateway/sanic_response.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/sanic_response.py
@@ -100,6 +100,15 @@
         if stream is not None:
             stream.keep_alive = False
 
+    def close_if_unread(self) -> None:
+        """Close the connection unless the rest of the body has arrived."""
+        stream = self._request.stream
+        if stream is None or not stream.request_body:
+            return
+        chunked = stream.request_body == 'chunked'
+        if chunked or len(stream.recv_buffer) < stream.request_bytes_left:
+            self.close_after_delay()
+
     def close_after_delay(self) -> None:
         """Close the connection without reading the rest of the request body.
 
--- a/packages/daemon/src/baobabwharf_daemon/gateway_builder.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_builder.py
@@ -8,11 +8,15 @@
 
 from baobabwharf_daemon.forwarding.call_codec import MAX_CALL_HEAD_BYTES
 from baobabwharf_daemon.forwarding.endpoint_client import EndpointClient
-from baobabwharf_daemon.forwarding.forward_routes import ForwardRoutes
+from baobabwharf_daemon.forwarding.forward_routes import (
+    ForwardDependencies,
+    ForwardRoutes,
+)
 from baobabwharf_daemon.forwarding.forwarder import Forwarder
 from baobabwharf_daemon.forwarding.local_executor import LocalExecutor
 from baobabwharf_daemon.gateway.announcement_routes import AnnouncementRoutes
 from baobabwharf_daemon.gateway.auth import KeyIndex
+from baobabwharf_daemon.gateway.body_reader import BodyReader
 from baobabwharf_daemon.gateway.call_runner import CallRunner
 from baobabwharf_daemon.gateway.caller_app import (
     CallerDependencies,
@@ -25,6 +29,7 @@
     create_app,
 )
 from baobabwharf_daemon.gateway.idempotency import IdempotencyGuard
+from baobabwharf_daemon.gateway.intake import Intake
 from baobabwharf_daemon.gateway.lifecycle import (
     BackgroundJob,
     BackgroundTasks,
@@ -92,6 +97,7 @@
         self._keys = KeyIndex(dependencies.config_source)
         self._records = RequestRecords(dependencies.clock)
         self._running = RunningRequests(dependencies.config_source, self._keys)
+        self._intake = Intake(None, dependencies.clock)
         self._client = EndpointClient()
 
     def build(self) -> Gateway:
@@ -124,7 +130,8 @@
             dependencies.clock,
         )
         background_jobs: list[BackgroundJob] = [
-            self._running.check_keys_forever
+            self._running.check_keys_forever,
+            self._intake.relieve_forever,
         ]
         if self._contexts.reloader is not None:
             background_jobs.append(self._contexts.reloader.reload_forever)
@@ -162,10 +169,14 @@
             call_runner=CallRunner(self._running, dependencies.clock),
             running=self._running,
             drain=drain,
+            intake=self._intake,
         )
         CallerRoutes(caller_dependencies).add_to(app)
         AnnouncementRoutes(
-            dependencies.settings.region, self._keys, dependencies.registry
+            dependencies.settings.region,
+            self._keys,
+            dependencies.registry,
+            BodyReader(self._intake),
         ).add_to(app)
         port = dependencies.settings.listen.caller_port
         return Listener(app, self._host, port, self._contexts.caller)
@@ -174,15 +185,19 @@
         self, executor: LocalExecutor, drain: Drain
     ) -> Listener:
         app = create_app('forward')
-        app.config.REQUEST_MAX_SIZE = MAX_BODY_BYTES + MAX_CALL_HEAD_BYTES
+        max_bytes = MAX_BODY_BYTES + MAX_CALL_HEAD_BYTES
+        app.config.REQUEST_MAX_SIZE = max_bytes
         ForwardRoutes(
-            self._region,
-            self._secret,
-            executor,
-            self._records,
-            self._running,
-            drain,
-            self._dependencies.clock,
+            ForwardDependencies(
+                self._region,
+                self._secret,
+                executor,
+                self._records,
+                self._running,
+                drain,
+                self._dependencies.clock,
+                BodyReader(self._intake, max_bytes),
+            )
         ).add_to(app)
         port = self._dependencies.settings.listen.forward_port
         return Listener(app, self._host, port, self._contexts.server)
@@ -208,6 +223,7 @@
                 dependencies.router,
                 self._records,
                 dependencies.events,
+                BodyReader(self._intake),
             )
         ).add_to(app)
         port = dependencies.settings.listen.operator_port
--- a/packages/daemon/src/baobabwharf_daemon/metrics.py
+++ b/packages/daemon/src/baobabwharf_daemon/metrics.py
@@ -53,6 +53,26 @@
     registry=REGISTRY,
     buckets=[0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.5, 6.0, 12.0],
 )
+INPUT_HELD = Gauge(
+    'baobabwharf_input_held_bytes',
+    'Bytes that callers make the process hold.',
+    registry=REGISTRY,
+)
+INPUT_LIMIT = Gauge(
+    'baobabwharf_input_limit_bytes',
+    'Most bytes that callers may make the process hold.',
+    registry=REGISTRY,
+)
+INPUT_LARGEST = Gauge(
+    'baobabwharf_input_largest_bytes',
+    'Bytes that one request makes the process hold at most.',
+    registry=REGISTRY,
+)
+INPUT_REFUSED = Counter(
+    'baobabwharf_input_refused_total',
+    'Requests that were refused or ended while memory was short, by reason.',
+    registry=REGISTRY,
+)
 DROPPED_LINES = Gauge(
     'baobabwharf_log_lines_dropped',
     'Log lines that were dropped because nobody read them.',
--- a/packages/daemon/src/baobabwharf_daemon/operator/routes.py
+++ b/packages/daemon/src/baobabwharf_daemon/operator/routes.py
@@ -8,12 +8,18 @@
 from baobabwharf_core.changes import ChangeCode, ChangeRequest
 from baobabwharf_core.ids import RequestId
 from baobabwharf_core.json_input import decode_json
+from baobabwharf_core.refusals import Refusal
 from expression import Result
 from sanic import HTTPResponse, Request, Sanic
 
 from baobabwharf_daemon.gateway.auth import bearer_key
+from baobabwharf_daemon.gateway.body_reader import BodyReader
 from baobabwharf_daemon.gateway.http_server import MAX_BODY_BYTES
 from baobabwharf_daemon.gateway.request_records import RequestRecords
+from baobabwharf_daemon.gateway.sanic_response import (
+    SanicResponseWriter,
+    refusal_response,
+)
 from baobabwharf_daemon.interfaces import (
     ChangeClient,
     ConfigSource,
@@ -32,6 +38,8 @@
 _MAX_DIGITS = 15
 _BASE_PATH = '/operator/v1'
 _JSON = 'application/json'
+# Counts the changes that are received; no id of a customer begins like this.
+_OPERATORS = '/operators'
 _change_decoder = msgspec.json.Decoder(ChangeRequest)
 
 
@@ -46,6 +54,7 @@
     router: Router
     records: RequestRecords
     events: EventLog
+    bodies: BodyReader
 
 
 class OperatorRoutes:
@@ -57,14 +66,23 @@
     def add_to(self, app: Sanic) -> None:
         """Register the routes with the app of the operator listener."""
         app.register_middleware(self._check_token, 'request')
-        app.add_route(self._change, f'{_BASE_PATH}/changes', methods=['POST'])
-        app.add_route(self._outcome, f'{_BASE_PATH}/changes/<request_id:str>')
-        app.add_route(self._config, f'{_BASE_PATH}/config')
-        app.add_route(self._status, f'{_BASE_PATH}/status')
-        app.add_route(self._events, f'{_BASE_PATH}/events')
+
+        # sanic reads the body before it checks the token, except of streaming
+        # handlers.  It sets an attribute on them, so not a bound method.
+        async def change(request: Request) -> HTTPResponse:
+            return await self._change(request)
+
         app.add_route(
-            self._explain_request, f'{_BASE_PATH}/requests/<request_id:str>'
+            change, f'{_BASE_PATH}/changes', methods=['POST'], stream=True
         )
+        for handler, path in (
+            (self._outcome, 'changes/<request_id:str>'),
+            (self._config, 'config'),
+            (self._status, 'status'),
+            (self._events, 'events'),
+            (self._explain_request, 'requests/<request_id:str>'),
+        ):
+            app.add_route(handler, f'{_BASE_PATH}/{path}', ignore_body=True)
 
     async def _check_token(self, request: Request) -> HTTPResponse | None:
         token = bearer_key(request.headers.get('authorization'))
@@ -72,12 +90,16 @@
         for known_digest in self._dependencies.token_digests:
             if token and hmac.compare_digest(known_digest.lower(), digest):
                 return None
+        SanicResponseWriter(request).close_if_unread()
         return _error_response(
             401, 'Send the token as "Authorization: Bearer TOKEN".'
         )
 
     async def _change(self, request: Request) -> HTTPResponse:
-        decoded = decode_change(request.body)
+        decoded = await self._read_change(request)
+        if isinstance(decoded, Refusal):
+            SanicResponseWriter(request).close_if_unread()
+            return refusal_response(decoded, '')
         if decoded.is_error():
             reason = f'The change is not valid: {decoded.error}'
             return _error_response(400, reason)
@@ -100,6 +122,13 @@
             return _json_response(body, status)
         return _json_response(outcome, status)
 
+    async def _read_change(
+        self, request: Request
+    ) -> Result[ChangeRequest, str] | Refusal:
+        bodies = self._dependencies.bodies
+        with bodies.hold(request, _OPERATORS) as holding:
+            return await bodies.read(request, holding, decode_change)
+
     async def _outcome(self, request: Request, request_id: str) -> HTTPResponse:
         outcome = await self._dependencies.client.outcome(RequestId(request_id))
         if outcome is None:
