--- a/packages/daemon/src/baobabwharf_daemon/gateway/body_reader.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/body_reader.py
@@ -101,9 +101,13 @@
 
 
 def _not_received(error: Exception, holding: Holding) -> Refusal:
+    if holding.slow:
+        return Refusal(RefusalCode.BODY_TOO_SLOW)
     if isinstance(error, MemoryShortError) or holding.waited:
         return Refusal(
-            RefusalCode.QUEUE_FULL, Executed.NO, retry_after_ms=_RETRY_AFTER_MS
+            RefusalCode.MEMORY_SHORT,
+            Executed.NO,
+            retry_after_ms=_RETRY_AFTER_MS,
         )
     return Refusal(
         RefusalCode.INVALID_REQUEST, detail='The body was not sent in time.'
--- a/packages/daemon/src/baobabwharf_daemon/gateway/intake.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/intake.py
@@ -11,15 +11,16 @@
     HolderId,
     IntakeBudget,
     IntakeVerdict,
+    RelievedReason,
     intake_limit_bytes,
 )
 
 from baobabwharf_daemon.log import get_logger
 from baobabwharf_daemon.metrics import (
-    INPUT_HELD,
+    INPUT_BYTES,
+    INPUT_CLOSED,
     INPUT_LARGEST,
     INPUT_LIMIT,
-    INPUT_REFUSED,
 )
 
 # Short beside the times after which the budget calls a holder slow or stalled.
@@ -90,16 +91,15 @@
             for relieved in self._budget.relieve(self._clock.now_ms()):
                 reason = relieved.reason.value
                 _log.info('A %s request yields its memory.', reason)
-                INPUT_REFUSED.inc({'reason': reason})
-                self._holdings[relieved.holder].interrupt()
+                INPUT_CLOSED.inc({'reason': reason})
+                self._holdings[relieved.holder].interrupt(relieved.reason)
             self._resume()
-            INPUT_HELD.set({}, self._budget.held_bytes)
+            INPUT_BYTES.set({}, self._budget.held_bytes)
             INPUT_LARGEST.set({}, self._budget.largest_bytes)
 
     def _add(self, holder: HolderId, size: int) -> IntakeVerdict:
         verdict = self._budget.grow(holder, size, self._clock.now_ms())
         if verdict is IntakeVerdict.REFUSE:
-            INPUT_REFUSED.inc({'reason': 'memory'})
             raise MemoryShortError
         return verdict
 
@@ -119,6 +119,7 @@
         self._holder = holder
         self._timer: asyncio.Timeout | None = None
         self._waited = False
+        self._slow = False
         self._size = 0
 
     @property
@@ -126,6 +127,11 @@
         """Return whether memory was short for this request."""
         return self._waited
 
+    @property
+    def slow(self) -> bool:
+        """Return whether the request arrived too slowly for that."""
+        return self._slow
+
     def __enter__(self) -> Self:
         """Begin to count."""
         return self
@@ -163,8 +169,9 @@
             finally:
                 self._timer = None
 
-    def interrupt(self) -> None:
+    def interrupt(self, reason: RelievedReason) -> None:
         """End the block that limits the time of this request."""
+        self._slow = reason is RelievedReason.SLOW
         self._waited = True
         if self._timer is not None:
             self._timer.reschedule(asyncio.get_running_loop().time())
--- a/packages/daemon/src/baobabwharf_daemon/gateway_builder.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway_builder.py
@@ -98,7 +98,7 @@
         self._keys = KeyIndex(dependencies.config_source)
         self._records = RequestRecords(dependencies.clock)
         self._running = RunningRequests(dependencies.config_source, self._keys)
-        self._intake = Intake(None, dependencies.clock)
+        self._intake = Intake(settings.memory_mb, dependencies.clock)
         self._client = EndpointClient()
 
     def build(self) -> Gateway:
