--- a/packages/daemon/src/baobabwharf_daemon/main.py
+++ b/packages/daemon/src/baobabwharf_daemon/main.py
@@ -9,8 +9,9 @@
 from cleo.helpers import option
 
 from baobabwharf_daemon import VERSION
+from baobabwharf_daemon.allocator import return_large_blocks
 from baobabwharf_daemon.app import run_daemon
-from baobabwharf_daemon.log import set_up_logging
+from baobabwharf_daemon.log import get_logger, set_up_logging
 from baobabwharf_daemon.settings import load_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -41,6 +42,11 @@
             self.line('The settings are valid.')
             return 0
         set_up_logging(loaded.ok.log)
+        if not return_large_blocks():
+            get_logger('daemon').info(
+                'The C library has no threshold for large blocks; large '
+                'bodies may leave memory in use.'
+            )
         return uvloop.run(run_daemon(loaded.ok))
 
 
