--- a/features/unit/outer_names.feature
+++ b/features/unit/outer_names.feature
@@ -16,6 +16,7 @@
     Then nothing of messages recorded in "wire_samples_without_traits.json" is lost by new fields
     And nothing of messages recorded in "wire_samples_without_departures.json" is lost by new fields
     And nothing of messages recorded in "wire_samples_without_output_tokens.json" is lost by new fields
+    And nothing of messages recorded in "wire_samples_without_capacity.json" is lost by new fields
 
   Scenario: Metrics keep their names
     Then the daemon has the metrics
