Test the memory for input of the own interface without a network

A body that waits must go on when another request ends, be refused as not run when memory stays short, and leave nothing counted.

--- a/packages/daemon/src/baobabwharf_daemon/gateway/intake.py
+++ b/packages/daemon/src/baobabwharf_daemon/gateway/intake.py
@@ -49,6 +49,11 @@
         """Return the bytes that callers make the process hold."""
         return self._budget.held_bytes
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait for memory."""
+        return len(self._paused)
+
     def hold(self, owner: str | None, length: int | None) -> 'Holding':
         """Begin to count a request; length is None if it is not announced."""
         holder = self._budget.open(owner, self._clock.now_ms())
@@ -88,15 +93,19 @@
         """Make slow and stalled requests yield while memory is short."""
         while True:
             await asyncio.sleep(_RELIEF_INTERVAL_S)
-            for relieved in self._budget.relieve(self._clock.now_ms()):
-                reason = relieved.reason.value
-                _log.info('A %s request yields its memory.', reason)
-                INPUT_CLOSED.inc({'reason': reason})
-                self._holdings[relieved.holder].interrupt(relieved.reason)
-            self._resume()
+            self.relieve()
             INPUT_BYTES.set({}, self._budget.held_bytes)
             INPUT_LARGEST.set({}, self._budget.largest_bytes)
 
+    def relieve(self) -> None:
+        """End the requests that have to yield now; let others go on."""
+        for relieved in self._budget.relieve(self._clock.now_ms()):
+            reason = relieved.reason
+            _log.info('A %s request yields its memory.', reason.value)
+            INPUT_CLOSED.inc({'reason': reason.value})
+            self._holdings[relieved.holder].interrupt(reason)
+        self._resume()
+
     def _add(self, holder: HolderId, size: int) -> IntakeVerdict:
         verdict = self._budget.grow(holder, size, self._clock.now_ms())
         if verdict is IntakeVerdict.REFUSE:
