--- a/features/environment.py
+++ b/features/environment.py
@@ -10,7 +10,5 @@
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.folder = tempfile.TemporaryDirectory(prefix='baobabwharf-')
     context.path = Path(context.folder.name)
-
-
-def after_scenario(context: Context, scenario: Scenario) -> None:
-    context.folder.cleanup()
+    # The first clean-up runs last, so that processes no longer write there.
+    context.add_cleanup(context.folder.cleanup)
