--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -519,6 +519,7 @@
         subject.report(subject.number, ended=False, now_ms=now_ms)
         placed += 1
         now_ms += 900
+        assert placed * (prompt + output) <= CACHE_TOKENS, placed
     context.filled_ms = now_ms
     context.held_tokens = placed * (prompt + output)
 
--- a/features/steps/platform_decoding.py
+++ b/features/steps/platform_decoding.py
@@ -3,6 +3,7 @@
 import json
 from pathlib import Path
 
+import msgspec
 from baobabwharf_core.refusals import Refusal, RefusalCode
 from baobabwharf_daemon.proxy.dialect import SendMetadata
 from baobabwharf_daemon.proxy.http_messages import HttpRequest, ResponseHead
@@ -373,3 +374,12 @@
         text = path.read_text()
         used = [name for name in _PLATFORM_NAMES if name in text]
         assert not used, (path, used)
+
+
+@then('the load header "{value}" is read as {expected}')
+def load_header(context: Context, value: str, expected: str) -> None:
+    head = ResponseHead(200, b'', [(b'x-server-load', value.encode())], None)
+    found = PlatformDialect().read_response(head).load
+    fields = () if found is None else msgspec.structs.astuple(found)
+    text = ' '.join(str(field) for field in fields) or 'missing'
+    assert text == expected, text
--- a/features/unit/platform_decoding.feature
+++ b/features/unit/platform_decoding.feature
@@ -51,6 +51,21 @@
     Then a signed 200 response is a result and a 503 marked as not executed did not run
     And a 421 response did not run and an unmarked 503 may have run
 
+  Scenario Outline: A load of more or fewer figures is read as far as it is valid: <value>
+    The failure: a fourth figure makes the whole report missing.
+    Then the load header "<value>" is read as <expected>
+
+    Examples:
+      | value        | expected     |
+      | 3,1,64       | 3 1 64 None  |
+      | 3, 1, 64,250 | 3 1 64 250   |
+      | 3,1,64,250,7 | 3 1 64 250   |
+      | 3,1,64,x     | 3 1 64 None  |
+      | 3,1,64,0     | 3 1 64 None  |
+      | 3,1          | missing      |
+      | 3,-1,64,100  | missing      |
+      | a,b,c        | missing      |
+
   Scenario: A refusal tells when to retry
     Then a refusal with 300 ms has a Retry-After of 0.300 s
 
