Delete the folder of a scenario after its processes have ended

The hook after a scenario runs before the clean-ups that end the processes, so VMs wrote to the folder while it was being deleted.

Change: the folder is deleted by the first registered clean-up, which runs last.

--- a/features/environment.py
+++ b/features/environment.py
@@ -10,7 +10,6 @@
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.folder = tempfile.TemporaryDirectory(prefix='baobabwharf-')
     context.path = Path(context.folder.name)
-
-
-def after_scenario(context: Context, scenario: Scenario) -> None:
-    context.folder.cleanup()
+    # Runs last, after the processes that write to the folder were ended; the
+    # hook after a scenario runs before all clean-ups.
+    context.add_cleanup(context.folder.cleanup)
