Keep answers from engines where they would end after the deadline

Change: the expected end, from the expected output tokens and the engine's prefill share, must come before the deadline.

--- a/features/steps/awaited_events.py
+++ b/features/steps/awaited_events.py
@@ -21,6 +21,7 @@
     PlacementAsk,
     PlacementProgress,
 )
+from baobabwharf_decisions.proxying.prefill_rate import PREFILL_DECAY_MS
 from behave import given, then, when
 from behave.runner import Context
 
@@ -138,3 +139,34 @@
         context.events.settle(event, 100, 1500)
     lowered_ms = _expected_ms(context.load, 1500)
     assert context.before_ms <= lowered_ms < raised_ms, lowered_ms
+
+
+def _place(context: Context, output_tokens: int, deadline_ms: int) -> bool:
+    request = EngineRequest(
+        (), 0, _TARGET_MS, deadline_ms, 1000, 8, output_tokens
+    )
+    placement = AdaptivePlacement(random.Random(1), COMPARE_ALL)
+    candidate = Candidate(EndpointId('e'), context.load, _SLOTS)
+    return placement.choose([candidate], request, 1.0) is not None
+
+
+@given('an engine that spends {percent:d} in 100 of its time in prefill')
+def busy_engine(context: Context, percent: int) -> None:
+    context.load = EndpointLoad(_CACHE_TOKENS)
+    speed = context.load.speed(1000).prefill_tokens_per_ms
+    tokens = int(speed * PREFILL_DECAY_MS * percent / 100)
+    context.load.recent_sum.add(tokens, 1000)
+    # Pending prompts exclude the choice of an idle engine.
+    context.load.pending_tokens = 1
+
+
+@then(
+    'an answer of {tokens:d} tokens is not placed there with a deadline in 3 s'
+)
+def not_placed(context: Context, tokens: int) -> None:
+    assert not _place(context, tokens, _DEADLINE_MS)
+
+
+@then('one of {tokens:d} tokens is')
+def placed(context: Context, tokens: int) -> None:
+    assert _place(context, tokens, _DEADLINE_MS)
--- a/features/unit/awaited_events.feature
+++ b/features/unit/awaited_events.feature
@@ -13,3 +13,8 @@
     When the first event comes after 500 ms
     Then the next request is expected between 60 and 200 ms later than before
     And an event without delay lowers it again, but not below the first estimate
+
+  Scenario: An answer that would end after its deadline
+    Given an engine that spends 80 in 100 of its time in prefill
+    Then an answer of 400 tokens is not placed there with a deadline in 3 s
+    But one of 40 tokens is
--- a/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_chooser.py
+++ b/packages/daemon/src/baobabwharf_daemon/proxy/endpoint_chooser.py
@@ -103,6 +103,7 @@
             plan.deadline_ms - now_ms,
             now_ms,
             tokens_per_event,
+            plan.metadata.output_tokens,
         )
         placed = self._adaptive_placement.choose(
             candidates, request, self._work_mix.long_share(now_ms)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/adaptive_placement.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/adaptive_placement.py
@@ -79,6 +79,7 @@
             one
             for one in estimates
             if one.expectation.first_event_ms <= request.bound_ms
+            and one.expectation.end_ms <= request.deadline_left_ms
         ]
         if request.rank >= LATE_RANK or _is_long(in_time):
             in_time = _restrict(in_time, candidates, long_share)
--- a/packages/decisions/src/baobabwharf_decisions/proxying/expected_time.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/expected_time.py
@@ -38,6 +38,7 @@
 
     rank 0 is the most urgent.  bound_ms is the time in which the first event
     should come, deadline_left_ms the remaining time to the deadline.
+    output_tokens is the expected length of the answer, 0 if unknown.
     """
 
     prompt: Prompt
@@ -46,10 +47,11 @@
     deadline_left_ms: int
     now_ms: int
     tokens_per_event: int = 1
+    output_tokens: int = 0
 
 
 class Expectation(msgspec.Struct, frozen=True):
-    """Hold the expected time to the first event and the prompt work in it.
+    """Hold the expected times to the first event and to the end.
 
     work_ms is the time that the engine spends on the prompt alone, is_long
     whether that takes more than one chunk.
@@ -60,6 +62,7 @@
     is_long: bool = False
     # What the time was estimated from, None where another VM did.
     work: EngineWork | None = None
+    end_ms: float = 0.0
 
 
 @final
@@ -76,13 +79,24 @@
         self._queue.advance(self._speed.prefill_tokens_per_ms, request.now_ms)
         uncached = self._load.cache.uncached_tokens(request.prompt)
         work = self._work(request, uncached)
+        first_event_ms = self._speed.first_event_ms(work)
         return Expectation(
-            self._speed.first_event_ms(work),
+            first_event_ms,
             uncached / self._speed.prefill_tokens_per_ms,
             uncached > CHUNK_TOKENS,
             work,
+            first_event_ms + self._answer_ms(request),
         )
 
+    def _answer_ms(self, request: EngineRequest) -> float:
+        """Return the time from the first event to the end of the answer.
+
+        The prefill of other prompts goes on beside it.
+        """
+        steps = max(0, request.output_tokens - request.tokens_per_event)
+        share = self.prefill_share(request.now_ms)
+        return steps * self._speed.step_ms / (1 - share)
+
     def _work(self, request: EngineRequest, uncached: int) -> EngineWork:
         beside, steps = self._steps(request)
         tokens = self._tokens(request, uncached) + beside * CHUNK_TOKENS
--- a/packages/decisions/src/baobabwharf_decisions/proxying/placement_ledger.py
+++ b/packages/decisions/src/baobabwharf_decisions/proxying/placement_ledger.py
@@ -99,6 +99,7 @@
             ask.deadline_left_ms,
             now_ms,
             tokens_per_event,
+            ask.output_tokens,
         )
         self._apply_speeds(ask.service, candidates)
         self._events.check_overdue(candidates, now_ms)
